--- /dev/null
+++ b/internal/simwire/serve.go
@@ -0,0 +1,332 @@
+// Package simwire speaks the simulator's wire: it turns each line read into a call on the module and each
+// answer of the module into a line, and keeps the closures that the module leaves with its host.
+package simwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"sedgespread/rules"
+)
+
+// wire is one process's end of the conversation.
+type wire struct {
+	in      *bufio.Reader
+	out     *bufio.Writer
+	line    int
+	now     int64
+	pages   map[int64][]rules.Listing
+	drivers map[int64]*driver
+}
+
+// driver is one instance: its module and what that has left pending.
+type driver struct {
+	*rules.Driver
+	w       *wire
+	who     int64
+	epoch   int64
+	methods map[string]rules.MethodID
+	rpcs    map[rules.RPCID]*pending
+	probes  map[rules.MemberID][]func(rules.ProbeResult)
+	timers  map[int64]func()
+	handle  int64
+}
+
+// pending are the call-outs of one RPC. It is dropped once the RPC has ended and all its results are in.
+type pending struct {
+	number int
+	ended  bool
+	next   map[int]func(rules.Result)
+}
+
+// Serve answers batches until the input ends. An error says what was wrong, and in which line.
+func Serve(in io.Reader, out io.Writer) error {
+	w := &wire{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<16),
+		pages: map[int64][]rules.Listing{}, drivers: map[int64]*driver{}}
+	for {
+		err := w.batch()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("line %d: %w", w.line, err)
+		}
+	}
+}
+
+// read gives the next line that is not empty.
+func (w *wire) read() (*fields, error) {
+	for {
+		text, err := w.in.ReadString('\n')
+		if err == io.EOF && text != "" {
+			w.line++
+			return nil, fmt.Errorf("the last line is cut short")
+		}
+		if err != nil {
+			return nil, err
+		}
+		w.line++
+		if text = strings.TrimRight(text, "\r\n"); text != "" {
+			f := parseLine(text)
+			return f, f.err
+		}
+	}
+}
+
+// inside reads a line where the input must not end.
+func (w *wire) inside(what string) (*fields, error) {
+	f, err := w.read()
+	if errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("the input ends inside a %s", what)
+	}
+	return f, err
+}
+
+func (w *wire) batch() error {
+	f, err := w.read()
+	if err != nil {
+		return err
+	}
+	if f.name != "BEGIN_BATCH" {
+		return fmt.Errorf("%q where a batch should begin", f.name)
+	}
+	w.now = f.time("simTimeUs")
+	n := f.integer("n")
+	if f.text("simTimeUs"); f.err != nil {
+		return f.err
+	}
+	for {
+		f, err := w.inside("batch")
+		if err != nil {
+			return err
+		}
+		if f.name == "EOB" {
+			fmt.Fprintf(w.out, "YIELD\tn=%d\n", n)
+			return w.out.Flush()
+		}
+		if err := w.event(f); err != nil {
+			return err
+		}
+	}
+}
+
+func (w *wire) event(f *fields) error {
+	switch f.name {
+	case "PAGE":
+		return w.page(f)
+	case "NEW_INSTANCE":
+		return w.newInstance(f)
+	}
+	d := w.drivers[f.integer("who")]
+	if f.err != nil {
+		return f.err
+	}
+	if d == nil {
+		return fmt.Errorf("%s: who=%s is not running", f.name, f.at["who"])
+	}
+	switch f.name {
+	case "STOP":
+		delete(w.drivers, d.who)
+	case "VIEW":
+		d.view(f)
+	case "REQUEST":
+		d.request(f)
+	case "FIRST":
+		d.resolved(f, false, rules.Result{Proof: rules.Started, Took: f.time("waitTimeUs")})
+	case "RESOLVED":
+		d.resolved(f, true, f.result(d.epoch))
+	case "VANISHED":
+		id := rules.RPCID(f.id("xid"))
+		d.ended(id)
+		if f.err == nil {
+			d.Left(id)
+		}
+	case "TIMEOUT_FIRED":
+		d.fired(f)
+	case "PROBE_DONE":
+		d.probed(f)
+	case "WHISPER":
+	default:
+		return fmt.Errorf("unknown message %q", f.name)
+	}
+	return f.err
+}
+
+func (w *wire) page(f *fields) error {
+	slot, count := f.integer("slot"), f.integer("elements")
+	if f.err != nil {
+		return f.err
+	}
+	var lines []rules.Listing
+	for range count {
+		e, err := w.inside("list")
+		if err != nil {
+			return err
+		}
+		if e.name != "M" {
+			return fmt.Errorf("%q where a list's entry should be", e.name)
+		}
+		lines = append(lines, e.listing())
+		if e.err != nil {
+			return e.err
+		}
+	}
+	w.pages[slot] = lines
+	return nil
+}
+
+func (w *wire) newInstance(f *fields) error {
+	d := &driver{w: w, who: f.integer("who"), epoch: f.time("extra.countedFromUs"), methods: map[string]rules.MethodID{},
+		rpcs: map[rules.RPCID]*pending{}, probes: map[rules.MemberID][]func(rules.ProbeResult){}, timers: map[int64]func(){}}
+	methods := f.methods()
+	for i, m := range methods {
+		d.methods[m.Name] = rules.MethodID(i)
+	}
+	seed := f.integer("salt")
+	crew, store, allowed, thaw, notice := f.crew(), f.store(), f.allowed(), f.thaw(), f.notice()
+	if f.err != nil {
+		return f.err
+	}
+	d.Driver = rules.New(d, seed, methods, crew, store, allowed, thaw, notice)
+	w.drivers[d.who] = d
+	return nil
+}
+
+func (d *driver) view(f *fields) {
+	mode := f.text("mode")
+	if mode == "FAILED" {
+		d.ListFailed()
+		return
+	}
+	whole := choice(f, "mode", mode, modes)
+	lines, ok := d.w.pages[f.integer("slot")]
+	if !ok {
+		f.wrong("slot=%s holds no list", f.at["slot"])
+	}
+	if f.err == nil {
+		d.List(lines, whole)
+	}
+}
+
+func (d *driver) request(f *fields) {
+	method := choice(f, "tierClass", f.text("tierClass"), d.methods)
+	rpc := rules.RPC{ID: rules.RPCID(f.id("xid")), Method: method, Group: rules.GroupID(f.integerOr("cluster", 0)),
+		Session: f.at["key"], Left: f.integer("graceUs") * micro}
+	if ago := f.numberOr("lastWriteMs", 0); ago > 0 {
+		rpc.Token = d.w.now - int64(ago*1e6)
+	}
+	if f.err == nil {
+		d.rpcs[rpc.ID] = &pending{next: map[int]func(rules.Result){}}
+		d.Take(rpc)
+	}
+}
+
+func (d *driver) resolved(f *fields, last bool, r rules.Result) {
+	id, n := rules.RPCID(f.id("xid")), int(f.integer("n"))
+	if f.err != nil {
+		return
+	}
+	p := d.rpcs[id]
+	if p == nil || p.next[n] == nil {
+		f.wrong("xid=%d n=%d is not out", id, n)
+		return
+	}
+	next := p.next[n]
+	if last {
+		delete(p.next, n)
+	}
+	if r.Final || r.Proof == rules.OK {
+		d.ended(id)
+	}
+	next(r)
+	d.drop(id)
+}
+
+// ended notes that an RPC has its final answer.
+func (d *driver) ended(id rules.RPCID) {
+	if p := d.rpcs[id]; p != nil {
+		p.ended = true
+		d.drop(id)
+	}
+}
+
+func (d *driver) drop(id rules.RPCID) {
+	if p := d.rpcs[id]; p != nil && p.ended && len(p.next) == 0 {
+		delete(d.rpcs, id)
+	}
+}
+
+func (d *driver) fired(f *fields) {
+	handle := f.integer("handle")
+	next := d.timers[handle]
+	if next == nil {
+		f.wrong("handle=%d is not set", handle)
+		return
+	}
+	delete(d.timers, handle)
+	next()
+}
+
+func (d *driver) probed(f *fields) {
+	to, r := rules.MemberID(f.id("member")), f.probeResult(d.epoch)
+	waiting := d.probes[to]
+	if len(waiting) == 0 {
+		f.wrong("member=%d is not being probed", to)
+	}
+	if f.err == nil {
+		d.probes[to] = waiting[1:]
+		waiting[0](r)
+	}
+}
+
+func (d *driver) write(format string, args ...any) {
+	fmt.Fprintf(d.w.out, format+"\n", args...)
+}
+
+// up turns a span into whole microseconds, rounded up.
+func up(span int64) int64 { return (span + micro - 1) / micro }
+
+func (d *driver) Now() int64 { return d.w.now }
+
+func (d *driver) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
+	p := d.rpcs[id]
+	n := p.number
+	p.number++
+	p.next[n] = next
+	d.write("ATTEMPT\twho=%d\txid=%d\tmember=%d\twithinUs=%d", d.who, id, to, up(within))
+	return n
+}
+
+func (d *driver) Cancel(id rules.RPCID, number int) {
+	d.write("RETRACT\twho=%d\txid=%d\tn=%d", d.who, id, number)
+}
+
+func (d *driver) PushBack(id rules.RPCID, comeBack int64) {
+	d.write("BUSY\twho=%d\txid=%d\tretryAfterUs=%d", d.who, id, up(comeBack))
+	d.ended(id)
+}
+
+func (d *driver) Abort(id rules.RPCID) {
+	d.write("LOSE\twho=%d\txid=%d", d.who, id)
+	d.ended(id)
+}
+
+func (d *driver) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
+	d.probes[to] = append(d.probes[to], next)
+	d.write("CHECK\twho=%d\tmember=%d", d.who, to)
+}
+
+func (d *driver) After(wait int64, next func()) {
+	d.handle++
+	d.timers[d.handle] = next
+	d.write("AFTER\twho=%d\tafterUs=%d\thandle=%d", d.who, up(max(wait, 0)), d.handle)
+}
+
+func (d *driver) Watch() { d.write("SUBSCRIBE\twho=%d\ton=1", d.who) }
+
+func (d *driver) Log(line string) {
+	d.write("NOTE_DOWN\twho=%d\tmsg=%s", d.who, line)
+}
--- /dev/null
+++ b/rules/api.go
@@ -0,0 +1,189 @@
+package rules
+
+// The ids of the trade, each a type of its own.
+type (
+	RPCID    uint32
+	MemberID uint32
+	GroupID  int64
+	MethodID int // place in the list of methods given to New
+)
+
+// Need says what data a method needs.
+type Need int
+
+const (
+	NeedAny     Need = iota // any member will do
+	NeedBounded             // data no older than the method's bound
+	NeedSession             // all that the session has written
+	NeedFresh               // all written before the RPC came
+	NeedPrimary             // a write
+)
+
+// Effect says what a repeat of an RPC would do.
+type Effect int
+
+const (
+	Idempotent Effect = iota
+	Tokened
+	NonIdempotent
+)
+
+// Scope names the members that drop repeats of a tokened RPC between them.
+type Scope int
+
+const (
+	ScopeGroup Scope = iota
+	ScopeZone
+	ScopeAll
+)
+
+// Method is what a driver is told of one method. Times are nanoseconds.
+type Method struct {
+	Name         string
+	Need         Need
+	Bound        int64
+	Effect       Effect
+	Scope        Scope
+	Window       int64 // how long a tokened RPC's repeats are dropped
+	SoftDeadline int64
+	Utility      float64
+	LateUtility  float64 // share of Utility after the soft deadline
+}
+
+// Crew is this driver among its fellows.
+type Crew struct {
+	Drivers int
+	Zone    string
+}
+
+// Store says how the members replicate and what they check.
+type Store struct {
+	Guarded bool  // a member turns away a read for which it lags too far
+	Holds   int64 // how long it waits first
+	Carried bool  // session reads carry their token
+}
+
+// Allowed is what the deployment lets a driver do.
+type Allowed struct {
+	CallOuts int   // most call-outs for one RPC
+	Copies   bool  // two call-outs of an RPC may be out at once
+	Cancel   bool  // call-outs may be cancelled
+	Probes   bool  // members may be probed
+	ComeBack int64 // longest time to come back that clients heed, 0 for none
+}
+
+// Thaw says how members warm up, and when a cold one falls over.
+type Thaw struct {
+	Share     float64 // of its capacity at its start, at least
+	WarmAfter int64
+	Multiple  float64 // sent more than this times what it can do ...
+	Window    int64   // ... for this long, it falls
+}
+
+// Notice says how the list reaches a driver and what it binds.
+type Notice struct {
+	Asked     bool  // the list comes only when asked for
+	AskEvery  int64 // a driver that has not asked for so long is deemed told
+	DrainOnly bool  // gone alone does not bind, only draining
+}
+
+// RPC is one client call. Left is the client's time for this try.
+type RPC struct {
+	ID      RPCID
+	Method  MethodID
+	Group   GroupID
+	Session string
+	Left    int64
+	Token   int64 // commit that a session read must see, 0 for none
+}
+
+// State is a member's standing in the list.
+type State int
+
+const (
+	Healthy State = iota
+	Draining
+	Gone
+)
+
+// Listing is one line of the list.
+type Listing struct {
+	Member  MemberID
+	Group   GroupID
+	Zone    string
+	State   State
+	Started int64 // on the driver's clock, 0 for long ago
+	Primary bool
+}
+
+// Role of a member in its group.
+type Role int
+
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+// Sighting is what an answer shows of its member.
+type Sighting struct {
+	Role     Role
+	Position int64 // on the driver's clock, 0 when not told
+}
+
+// Proof says what a result proves about the effect of a call-out.
+type Proof int
+
+const (
+	OK Proof = iota
+	Started
+	NeverRan
+	MayHaveRun
+)
+
+// Cause says why a call-out was not ok.
+type Cause int
+
+const (
+	NoCause Cause = iota
+	Full
+	NoConnect
+	Missed // not the primary, or too far behind
+	Moot
+	TimedOut
+	Reset
+	Errored
+	Cancelled
+)
+
+// Result is how a call-out ended, or that its stream started. Final: the RPC itself has ended.
+type Result struct {
+	Proof Proof
+	Cause Cause
+	Took  int64
+	Final bool
+	Sighting
+}
+
+// ProbeResult is what a probe found.
+type ProbeResult struct {
+	OK    bool
+	Took  int64
+	Util  float64
+	Queue float64 // RPCs waiting
+	Load  bool    // Util and Queue are told
+	Sighting
+}
+
+// Host is what the module asks of whatever drives it. It keeps each closure and hands it the result.
+type Host interface {
+	Now() int64
+	CallOut(id RPCID, to MemberID, within int64, next func(Result)) (number int)
+	Cancel(id RPCID, number int)
+	PushBack(id RPCID, comeBack int64)
+	Abort(id RPCID)
+	Probe(to MemberID, next func(ProbeResult))
+	After(wait int64, next func())
+	Watch()
+	Log(line string)
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,766 @@
+// Package rules decides where a driver sends each RPC of a replicated store.
+//
+// To use it: build a Driver with New, hand it every change of the list (List, ListFailed), every RPC taken
+// (Take) and every RPC whose client went away (Left). It acts through its Host, declared with all other types
+// in api.go; the Host keeps the closures that the module leaves behind and hands them their results.
+// All calls for one Driver must come one after another. docs/design.md tells what comes from the source.
+package rules
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+)
+
+const (
+	ms  = int64(1_000_000)
+	sec = 1000 * ms
+
+	shortestProbe = 100 * ms // probe interval: a quarter of the smallest bound, kept within these
+	longestProbe  = 250 * ms
+	hush          = 150 * ms // a probe unanswered for so long makes its member silent
+	longHush      = sec      // after so long a silence a member may have restarted
+	window        = 15 * ms  // width of the latency window above the fastest
+	wideWindow    = 0.25     // and this share of the fastest on top
+	fullRest      = 40 * ms  // a member that turned work away full is left alone so long
+	holdPoll      = 100 * ms // an RPC held looks again this often
+	firstRoom     = 6.0      // call-outs of ours that a member may hold, before its answers teach better
+	mostRoom      = 64.0
+	readShare     = 0.6 // of the primary's room that reads may fill
+	strikesOut    = 3   // call-outs lost in a row that set a member aside
+)
+
+type member int // dense index of a member in the parallel arrays
+
+const nobody member = -1
+
+type group struct {
+	id       GroupID
+	members  []member
+	primary  member
+	since    int64 // date of the evidence that named the primary
+	heard    bool  // some member has answered a probe
+	held     []*call
+	sendRate float64 // call-outs a second of this driver, smoothed
+	lastSend int64
+	took     float64 // smoothed answer time
+}
+
+// call is an RPC being worked on.
+type call struct {
+	RPC
+	method   *Method
+	group    *group
+	taken    int64
+	deadline int64
+	soft     int64
+	tries    int
+	out      []int // numbers of the call-outs still out
+	tried    []member
+	risk     int64 // when the first call-out that may have run was sent, 0 for none
+	riskZone string
+	ended    bool
+	held     bool
+}
+
+// Driver decides for one instance.
+type Driver struct {
+	host     Host
+	rng      *rand.Rand
+	methods  []Method
+	crew     Crew
+	store    Store
+	allowed  Allowed
+	thaw     Thaw
+	notice   Notice
+	interval int64
+
+	index  map[MemberID]member
+	groups map[GroupID]*group
+	order  []*group
+	calls  map[RPCID]*call
+	tokens map[string]int64
+
+	asked    bool
+	askTries int
+	spare    float64 // further call-outs that may be made now
+	success  float64 // share of recent further call-outs that were ok
+
+	// What is known of each member, by its dense index.
+	ids      []MemberID
+	of       []*group
+	zone     []string
+	state    []State
+	started  []int64 // when it last started, as listed or suspected, 0 for long ago
+	role     []Role
+	demoted  []int64 // when an answer last told that it is no primary
+	pos      []int64 // last known position
+	learned  []int64 // when pos was learned
+	least    []int64 // least learned-pos of a primary in its term
+	heard    []int64 // last answer of any kind
+	asking   []int64 // when the oldest unanswered probe went out, 0 for none
+	silent   []bool
+	rest     []int64
+	out      []int
+	room     []float64 // call-outs it may hold at once
+	back     []bool    // on a trickle that doubles
+	aside    []int64   // set aside until
+	strikes  []int
+	took     []float64
+	lastCut  []int64
+	thawLeft []float64 // call-outs that a cold member may get now
+	thawAt   []int64
+}
+
+// New makes a driver that knows nothing yet; the first List follows at once.
+func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw, notice Notice) *Driver {
+	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, crew: crew, store: store,
+		allowed: allowed, thaw: thaw, notice: notice, index: map[MemberID]member{}, groups: map[GroupID]*group{},
+		calls: map[RPCID]*call{}, tokens: map[string]int64{}, spare: 5, success: 0.5}
+	d.interval = probeInterval(methods)
+	return d
+}
+
+// probeInterval is a quarter of the smallest bound, within limits.
+func probeInterval(methods []Method) int64 {
+	every := longestProbe
+	for _, m := range methods {
+		if m.Need == NeedBounded {
+			every = min(every, m.Bound/4)
+		}
+	}
+	return max(every, shortestProbe)
+}
+
+// ---- The list ----
+
+// List takes the list or, when whole is false, what changed in it.
+func (d *Driver) List(lines []Listing, whole bool) {
+	d.askTries = 0
+	seen := make([]bool, len(d.ids), len(d.ids)+len(lines))
+	for _, l := range lines {
+		m, known := d.index[l.Member]
+		if !known {
+			m = d.add(l)
+			seen = append(seen, true)
+		}
+		seen[m] = true
+		d.state[m] = l.State
+		if l.Started > d.started[m] {
+			d.started[m] = l.Started
+		}
+		if g := d.of[m]; l.Primary && g.primary == nobody && d.role[m] == RoleUnknown {
+			g.primary = m
+		}
+	}
+	for m := range seen {
+		if whole && !seen[m] {
+			d.state[m] = Gone
+		}
+	}
+	d.watch()
+	for _, g := range d.order {
+		d.wake(g)
+	}
+}
+
+// ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again.
+func (d *Driver) ListFailed() {
+	d.asked = false
+	d.askTries++
+	d.host.After(sec/2+d.rng.Int63n(sec*int64(min(d.askTries, 4))), d.watch)
+}
+
+func (d *Driver) watch() {
+	if d.notice.Asked && !d.asked {
+		d.asked = true
+		d.host.Watch()
+	}
+}
+
+func (d *Driver) add(l Listing) member {
+	m := member(len(d.ids))
+	g := d.groups[l.Group]
+	if g == nil {
+		g = &group{id: l.Group, primary: nobody, took: float64(100 * ms)}
+		d.groups[l.Group] = g
+		d.order = append(d.order, g)
+	}
+	g.members = append(g.members, m)
+	d.index[l.Member] = m
+	d.ids = append(d.ids, l.Member)
+	d.of = append(d.of, g)
+	d.zone = append(d.zone, l.Zone)
+	d.state = append(d.state, l.State)
+	d.started = append(d.started, l.Started)
+	d.role = append(d.role, RoleUnknown)
+	d.silent = append(d.silent, false)
+	d.back = append(d.back, false)
+	d.out = append(d.out, 0)
+	d.strikes = append(d.strikes, 0)
+	d.room = append(d.room, firstRoom)
+	d.took = append(d.took, g.took)
+	d.thawLeft = append(d.thawLeft, 1)
+	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking, &d.rest,
+		&d.aside, &d.lastCut, &d.thawAt} {
+		*times = append(*times, 0)
+	}
+	if d.allowed.Probes {
+		d.probeLoop(m)
+	}
+	return m
+}
+
+// ---- Probes, positions and roles ----
+
+// probeLoop probes a member every interval, for as long as the list has it. An answer that brought a position
+// since stands in for the probe.
+func (d *Driver) probeLoop(m member) {
+	now := d.host.Now()
+	if d.asking[m] == 0 && (d.learned[m] == 0 || now-d.learned[m] >= d.interval) {
+		d.asking[m] = now
+		d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
+		d.host.After(hush, func() { d.checkSilence(m) })
+	}
+	wait := d.interval
+	if d.state[m] == Gone {
+		wait = 4 * sec
+	}
+	d.host.After(wait-wait/8+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
+}
+
+func (d *Driver) probed(m member, r ProbeResult) {
+	d.asking[m] = 0
+	if !r.OK {
+		d.hushed(m)
+		return
+	}
+	d.alive(m)
+	d.of[m].heard = true
+	d.sighted(m, r.Sighting, false)
+	d.wake(d.of[m])
+}
+
+func (d *Driver) checkSilence(m member) {
+	now := d.host.Now()
+	if d.asking[m] != 0 && now-d.asking[m] >= hush && now-d.heard[m] >= hush {
+		d.hushed(m)
+	}
+}
+
+// hushed marks a member that does not answer. Guards against crashed, cut off and hung members, whatever the
+// cause: nothing is sent until it answers again, so a non-idempotent RPC is not lost on it. May harm where only
+// probes get lost.
+func (d *Driver) hushed(m member) {
+	if !d.silent[m] {
+		d.silent[m] = true
+		d.logf("silent member=%d unheard_ms=%d out=%d", d.ids[m], (d.host.Now()-d.heard[m])/ms, d.out[m])
+	}
+}
+
+func (d *Driver) alive(m member) {
+	now := d.host.Now()
+	if d.silent[m] {
+		d.silent[m] = false
+		gap := now - d.heard[m]
+		d.logf("answers again member=%d after_ms=%d", d.ids[m], gap/ms)
+		if gap > longHush {
+			d.trickle(m)
+			d.started[m] = max(d.started[m], now-hush)
+		}
+	}
+	d.heard[m] = now
+}
+
+// sighted takes in the role and position that an answer showed. A position never goes back, so evidence with an
+// older position than the one known is older itself, and its role is ignored.
+func (d *Driver) sighted(m member, s Sighting, answer bool) {
+	now := d.host.Now()
+	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
+		return
+	}
+	if s.Position != 0 {
+		d.pos[m], d.learned[m] = s.Position, now
+	}
+	g := d.of[m]
+	if s.Role == RoleReplica {
+		if answer {
+			d.demoted[m] = now
+		}
+		d.role[m] = RoleReplica
+		if g.primary == m {
+			g.primary = nobody
+			d.logf("primary lost group=%d member=%d", g.id, d.ids[m])
+		}
+		return
+	}
+	dated := s.Position
+	if dated == 0 {
+		dated = now
+	}
+	if !answer && dated <= d.demoted[m] {
+		return // a report from before the answer that demoted it
+	}
+	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.least[m]) {
+		d.least[m] = lead
+	}
+	d.role[m] = RolePrimary
+	if g.primary != m && dated >= g.since {
+		if g.primary != nobody {
+			d.role[g.primary] = RoleReplica
+		}
+		g.primary = m
+		d.logf("primary group=%d member=%d evidence_ms=%d", g.id, d.ids[m], (now-dated)/ms)
+	}
+	if g.primary == m {
+		g.since = max(g.since, dated)
+	}
+}
+
+// staleness is the source's estimate. The primary's term is the least of its term of office, so that a slow
+// answer of the primary does not make replicas look fresher; a replica overdue for its probe grows staler.
+func (d *Driver) staleness(m member) int64 {
+	g := d.of[m]
+	unheard := max(d.interval, d.host.Now()-d.learned[m])
+	if p := g.primary; p != nobody && d.least[p] != 0 {
+		return d.learned[m] - d.pos[m] - d.least[p] + unheard
+	}
+	newest := int64(0)
+	for _, o := range g.members {
+		newest = max(newest, d.pos[o])
+	}
+	return newest - d.pos[m] + unheard
+}
+
+// fresh tells whether a replica's data will do for an RPC.
+func (d *Driver) fresh(m member, c *call) bool {
+	switch c.method.Need {
+	case NeedAny:
+		return true
+	case NeedBounded:
+		if d.pos[m] == 0 || !d.store.Guarded && d.pos[m] < d.host.Now()-c.method.Bound {
+			return false
+		}
+		return d.staleness(m) <= c.method.Bound
+	case NeedSession:
+		return c.Token == 0 || d.pos[m] >= c.Token
+	}
+	return false
+}
+
+// ---- Picking a member ----
+
+// pick names the member for the next call-out of an RPC, or nobody if it has to wait.
+func (d *Driver) pick(c *call) member {
+	g := c.group
+	p := g.primary
+	if c.method.Need == NeedPrimary || c.method.Need == NeedFresh {
+		if p != nobody && d.usable(p) && d.hasRoom(p, 1) && d.mayRepeat(c, p) {
+			return p
+		}
+		return nobody
+	}
+	if !g.heard && d.allowed.Probes {
+		return nobody
+	}
+	var passers []member
+	passing := false
+	best := 0.0
+	for _, m := range g.members {
+		if m == p || !d.usable(m) || !d.fresh(m, c) || c.triedOn(m) {
+			continue
+		}
+		passing = true
+		if !d.hasRoom(m, 1) || !d.mayRepeat(c, m) {
+			continue
+		}
+		if cost := d.cost(m); len(passers) == 0 || cost < best {
+			best = cost
+		}
+		passers = append(passers, m)
+	}
+	if len(passers) > 0 {
+		return d.windowed(passers, best)
+	}
+	if p != nobody && d.usable(p) && !c.triedOn(p) && d.hasRoom(p, readShare) && d.mayRepeat(c, p) {
+		return p
+	}
+	_ = passing
+	return nobody
+}
+
+// windowed picks at random among the passers whose expected answer time lies in the latency window.
+func (d *Driver) windowed(passers []member, best float64) member {
+	limit := best*(1+wideWindow) + float64(window)
+	in := passers[:0]
+	for _, m := range passers {
+		if d.cost(m) <= limit {
+			in = append(in, m)
+		}
+	}
+	return in[d.rng.Intn(len(in))]
+}
+
+// cost is the answer time to expect of a member: what it took of late, and what we have out there.
+func (d *Driver) cost(m member) float64 {
+	return d.took[m] * (1 + 0.25*float64(d.out[m]))
+}
+
+// usable tells whether a member may get anything at all.
+func (d *Driver) usable(m member) bool {
+	now := d.host.Now()
+	gone := d.state[m] == Draining || d.state[m] == Gone && !d.notice.DrainOnly
+	return !gone && !d.silent[m] && now >= d.aside[m] && now >= d.rest[m]
+}
+
+func (d *Driver) hasRoom(m member, share float64) bool {
+	return float64(d.out[m]) < max(1, d.room[m]*share) && d.thawed(m)
+}
+
+// thawed keeps a cold member's budget: this driver sends it no more than its share of what a warm member of the
+// group gets, scaled by what it can do by now at the least. Holds without the drivers agreeing, since each keeps
+// to a part of its own usual traffic.
+func (d *Driver) thawed(m member) bool {
+	now := d.host.Now()
+	age := now - d.started[m]
+	if d.started[m] == 0 || age >= d.thaw.WarmAfter {
+		return true
+	}
+	able := d.thaw.Share + (1-d.thaw.Share)*float64(age)/float64(d.thaw.WarmAfter)
+	g := d.of[m]
+	rate := able * g.sendRate / float64(max(1, len(g.members)))
+	d.thawLeft[m] = min(1+rate*0.2, d.thawLeft[m]+rate*float64(now-d.thawAt[m])/float64(sec))
+	d.thawAt[m] = now
+	return d.thawLeft[m] >= 1
+}
+
+// mayRepeat keeps the rule on effects for a call-out that would follow others.
+func (d *Driver) mayRepeat(c *call, m member) bool {
+	if c.risk == 0 || c.method.Effect == Idempotent {
+		return true
+	}
+	if c.method.Effect == NonIdempotent || d.host.Now()-c.risk >= c.method.Window {
+		return false
+	}
+	return c.method.Scope != ScopeZone || d.zone[m] == c.riskZone
+}
+
+// ---- The steps of an RPC ----
+
+// Take accepts an RPC; it gets exactly one final answer.
+func (d *Driver) Take(rpc RPC) {
+	now := d.host.Now()
+	method := &d.methods[rpc.Method]
+	g := d.groups[rpc.Group]
+	if g == nil {
+		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
+		return
+	}
+	c := &call{RPC: rpc, method: method, group: g, taken: now, deadline: now + rpc.Left, soft: now + method.SoftDeadline}
+	if method.Need == NeedSession && !d.store.Carried {
+		c.Token = d.tokens[rpc.Session]
+	}
+	d.calls[rpc.ID] = c
+	d.spare = min(10, d.spare+0.02+0.15*d.success)
+	d.step(c)
+}
+
+// Left hears that the client of an RPC has gone.
+func (d *Driver) Left(id RPCID) {
+	if c := d.calls[id]; c != nil {
+		d.end(c)
+	}
+}
+
+func (d *Driver) step(c *call) {
+	if m := d.pick(c); m != nobody {
+		d.callOut(c, m)
+		return
+	}
+	d.hold(c)
+}
+
+// giveUp is the time from which an RPC still held can no longer be answered to any use.
+func (d *Driver) giveUp(c *call) int64 {
+	need := int64(c.group.took)
+	if c.method.LateUtility > 0 {
+		return c.deadline - need
+	}
+	return min(c.soft, c.deadline) - need
+}
+
+func (d *Driver) hold(c *call) {
+	now := d.host.Now()
+	left := d.giveUp(c) - now
+	if left <= 0 {
+		d.finish(c)
+		return
+	}
+	if !c.held {
+		c.held = true
+		c.group.held = append(c.group.held, c)
+		d.host.After(min(left, holdPoll), func() { d.poll(c) })
+	}
+}
+
+func (d *Driver) poll(c *call) {
+	if c.ended || !c.held {
+		return
+	}
+	left := d.giveUp(c) - d.host.Now()
+	if left <= 0 {
+		d.finish(c)
+		return
+	}
+	c.tried = c.tried[:0]
+	d.wake(c.group)
+	if c.held && !c.ended {
+		d.host.After(min(left, holdPoll), func() { d.poll(c) })
+	}
+}
+
+// wake looks again at the RPCs held for a group, those of most utility first.
+func (d *Driver) wake(g *group) {
+	if len(g.held) == 0 {
+		return
+	}
+	queue := g.held
+	g.held = nil
+	now := d.host.Now()
+	sort.SliceStable(queue, func(i, j int) bool { return queue[i].worth(now) > queue[j].worth(now) })
+	stuck := make([]bool, len(d.methods))
+	for _, c := range queue {
+		if c.ended || !c.held {
+			continue
+		}
+		if !stuck[c.Method] {
+			if m := d.pick(c); m != nobody {
+				c.held = false
+				d.callOut(c, m)
+				continue
+			}
+			stuck[c.Method] = c.method.Need != NeedSession && len(c.tried) == 0 && c.risk == 0
+		}
+		g.held = append(g.held, c)
+	}
+}
+
+func (c *call) worth(now int64) float64 {
+	if now > c.soft {
+		return c.method.Utility * c.method.LateUtility
+	}
+	return c.method.Utility
+}
+
+func (c *call) triedOn(m member) bool {
+	for _, t := range c.tried {
+		if t == m {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Driver) callOut(c *call, m member) {
+	now := d.host.Now()
+	c.tries++
+	c.tried = append(c.tried, m)
+	d.out[m]++
+	d.thawLeft[m]--
+	c.group.sent(now)
+	within := d.patience(c, m, now)
+	var number int
+	number = d.host.CallOut(c.ID, d.ids[m], within, func(r Result) { d.settle(c, m, now, number, r) })
+	c.out = append(c.out, number)
+	if d.allowed.Copies && c.method.Effect == Idempotent && c.method.Need != NeedFresh && len(c.out) == 1 {
+		d.host.After(d.copyAfter(c, m), func() { d.copyOut(c) })
+	}
+}
+
+func (g *group) sent(now int64) {
+	gap := float64(max(now-g.lastSend, ms)) / float64(sec)
+	g.lastSend = now
+	weight := min(0.05, gap)
+	g.sendRate += weight * (min(1/gap, 1000) - g.sendRate)
+}
+
+// patience is the time-out of a call-out. Where copies are not allowed an idempotent RPC leaves a member that
+// keeps it waiting much longer than usual while there is time for another; else it waits to the deadline.
+func (d *Driver) patience(c *call, m member, now int64) int64 {
+	left := c.deadline - now
+	if d.allowed.Copies || c.method.Effect != Idempotent || c.method.Need == NeedFresh || d.spare < 1 {
+		return left
+	}
+	wait := max(int64(4*d.took[m]), c.method.SoftDeadline/2)
+	if wait+int64(2*c.group.took) > left {
+		return left
+	}
+	return wait
+}
+
+func (d *Driver) copyAfter(c *call, m member) int64 {
+	return max(int64(2.5*d.took[m]), c.method.SoftDeadline*2/5)
+}
+
+// copyOut sends a second copy of an idempotent read that has been out for long, if recent ones did well.
+func (d *Driver) copyOut(c *call) {
+	now := d.host.Now()
+	if c.ended || len(c.out) != 1 || c.tries >= d.allowed.CallOuts || d.spare < 1 || now+int64(c.group.took) > c.deadline {
+		return
+	}
+	if m := d.pick(c); m != nobody {
+		d.spare--
+		d.callOut(c, m)
+	}
+}
+
+// settle takes the result of a call-out and decides what follows.
+func (d *Driver) settle(c *call, m member, sent int64, number int, r Result) {
+	if r.Proof == Started {
+		d.end(c)
+		return
+	}
+	d.out[m]--
+	for i, n := range c.out {
+		if n == number {
+			c.out = append(c.out[:i], c.out[i+1:]...)
+			break
+		}
+	}
+	d.judge(c, m, r)
+	d.further(c, r)
+	if !c.ended {
+		d.next(c, m, sent, r)
+	}
+	d.wake(c.group)
+}
+
+// further learns how well further call-outs do.
+func (d *Driver) further(c *call, r Result) {
+	if c.tries > 1 && (r.Proof == OK || r.Proof == MayHaveRun) {
+		good := 0.0
+		if r.Proof == OK {
+			good = 1
+		}
+		d.success += 0.1 * (good - d.success)
+	}
+}
+
+func (d *Driver) next(c *call, m member, sent int64, r Result) {
+	if r.Final || r.Proof == OK {
+		if c.method.Need == NeedPrimary && c.Session != "" && r.Position != 0 {
+			d.tokens[c.Session] = max(d.tokens[c.Session], r.Position)
+		}
+		d.end(c)
+		return
+	}
+	if r.Proof == MayHaveRun && c.risk == 0 {
+		c.risk, c.riskZone = sent, d.zone[m]
+	}
+	if len(c.out) > 0 {
+		return
+	}
+	now := d.host.Now()
+	lost := r.Proof == MayHaveRun
+	if c.tries >= d.allowed.CallOuts || now >= c.deadline || !d.mayRepeat(c, m) || lost && d.spare < 1 {
+		d.finish(c)
+		return
+	}
+	if lost {
+		d.spare--
+	}
+	d.step(c)
+}
+
+// finish gives up on an RPC: pushed back where a further try of the client does no harm, aborted otherwise.
+func (d *Driver) finish(c *call) {
+	harmless := c.risk == 0 && len(c.out) == 0 || c.method.Effect == Idempotent ||
+		c.method.Effect == Tokened && c.method.Scope == ScopeAll
+	if harmless && d.host.Now() < c.deadline {
+		d.host.PushBack(c.ID, min(d.allowed.ComeBack, int64(c.group.took)))
+	} else {
+		d.host.Abort(c.ID)
+	}
+	d.end(c)
+}
+
+func (d *Driver) end(c *call) {
+	c.ended = true
+	delete(d.calls, c.ID)
+	if d.allowed.Cancel {
+		for _, n := range c.out {
+			d.host.Cancel(c.ID, n)
+		}
+	}
+}
+
+// ---- Health and room of a member ----
+
+// judge learns from a result how its member fares.
+func (d *Driver) judge(c *call, m member, r Result) {
+	now := d.host.Now()
+	switch r.Cause {
+	case NoCause, Errored, Missed, Full:
+		d.alive(m)
+		d.sighted(m, r.Sighting, true)
+	case TimedOut, Reset, NoConnect:
+		d.strike(m, now)
+	}
+	switch {
+	case r.Proof == OK:
+		d.strikes[m] = 0
+		d.timed(m, r.Took)
+		d.teach(c, m, r.Took, now)
+	case r.Cause == TimedOut:
+		d.timed(m, max(r.Took, int64(d.took[m])))
+		d.teach(c, m, r.Took, now)
+	case r.Cause == Full:
+		d.rest[m] = now + fullRest
+		d.room[m] = max(1, min(d.room[m], float64(d.out[m]+1))*0.8)
+	}
+}
+
+func (d *Driver) timed(m member, took int64) {
+	d.took[m] += 0.15 * (float64(took) - d.took[m])
+	g := d.of[m]
+	g.took += 0.03 * (float64(took) - g.took)
+}
+
+// teach grows a member's room while its answers come well in time, doubling on a trickle, and cuts it when late.
+func (d *Driver) teach(c *call, m member, took, now int64) {
+	switch {
+	case took > c.method.SoftDeadline*6/10:
+		if now-d.lastCut[m] > int64(d.took[m]) {
+			d.lastCut[m] = now
+			d.room[m] = max(1, d.room[m]*0.85)
+		}
+		d.back[m] = false
+	case d.back[m]:
+		d.room[m] *= 2
+		if d.room[m] >= firstRoom {
+			d.back[m] = false
+			d.logf("back member=%d room=%.0f", d.ids[m], d.room[m])
+		}
+	case took < c.method.SoftDeadline*4/10 && float64(d.out[m])+2 >= d.room[m]:
+		d.room[m] = min(mostRoom, d.room[m]+1/d.room[m])
+	}
+}
+
+// strike counts call-outs lost in a row. Guards against members that answer probes but finish nothing.
+func (d *Driver) strike(m member, now int64) {
+	d.strikes[m]++
+	if d.strikes[m] >= strikesOut && now >= d.aside[m] {
+		wait := min(8*sec, sec/2<<min(4, d.strikes[m]-strikesOut))
+		d.aside[m] = now + wait
+		d.trickle(m)
+		d.logf("set aside member=%d lost=%d for_ms=%d", d.ids[m], d.strikes[m], wait/ms)
+	}
+}
+
+func (d *Driver) trickle(m member) {
+	d.room[m], d.back[m] = 1, true
+}
+
+func (d *Driver) logf(format string, args ...any) {
+	d.host.Log(fmt.Sprintf(format, args...))
+}
