--- a/rules/rules.go
+++ b/rules/rules.go
@@ -7,9 +7,10 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand"
-	"sort"
+	"slices"
 )
 
 const (
@@ -51,7 +52,6 @@
 	RPC
 	method   *Method
 	group    *group
-	taken    int64
 	deadline int64
 	soft     int64
 	tries    int
@@ -61,6 +61,7 @@
 	riskZone string
 	ended    bool
 	held     bool
+	started  bool // its answer has begun to stream
 }
 
 // Driver decides for one instance.
@@ -86,34 +87,27 @@
 	spare    float64 // further call-outs that may be made now
 	success  float64 // share of recent further call-outs that were ok
 
-	// What is known of each member, by its dense index.
-	ids      []MemberID
-	of       []*group
-	zone     []string
-	state    []State
-	started  []int64 // when it last started, as listed or suspected, 0 for long ago
-	role     []Role
-	demoted  []int64 // when an answer last told that it is no primary
-	pos      []int64 // last known position
-	learned  []int64 // when pos was learned
-	least    []int64 // least learned-pos of a primary in its term
-	heard    []int64 // last answer of any kind
-	asking   []int64 // when the oldest unanswered probe went out, 0 for none
-	silent   []bool
-	rest     []int64
-	out      []int
-	room     []float64 // call-outs it may hold at once
-	back     []bool    // on a trickle that doubles
-	aside    []int64   // set aside until
-	strikes  []int
-	took     []float64
-	lastCut  []int64
-	thawLeft []float64 // call-outs that a cold member may get now
-	thawAt   []int64
+	// What is known of each member, by its dense index. Times are 0 for never.
+	ids                  []MemberID
+	of                   []*group
+	zone                 []string
+	state                []State
+	role                 []Role
+	started              []int64 // when it last started, as listed or suspected
+	demoted              []int64 // when an answer last told that it is no primary
+	pos, learned         []int64 // last known position, and when it was learned
+	least                []int64 // least learned-pos of a primary in its term
+	heard, asking        []int64 // last answer of any kind, and when the unanswered probe went out
+	rest, aside          []int64 // left alone until, set aside until
+	lastCut, thawAt      []int64
+	silent, back         []bool    // does not answer; on a trickle that doubles
+	out, strikes         []int     // call-outs of ours out, and those lost in a row
+	room, took, thawLeft []float64 // call-outs it may hold, smoothed answer time, budget while cold
 }
 
 // New makes a driver that knows nothing yet; the first List follows at once.
-func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw, notice Notice) *Driver {
+func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw,
+	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, crew: crew, store: store,
 		allowed: allowed, thaw: thaw, notice: notice, index: map[MemberID]member{}, groups: map[GroupID]*group{},
 		calls: map[RPCID]*call{}, tokens: map[string]int64{}, spare: 5, success: 0.5}
@@ -188,20 +182,13 @@
 	}
 	g.members = append(g.members, m)
 	d.index[l.Member] = m
-	d.ids = append(d.ids, l.Member)
-	d.of = append(d.of, g)
-	d.zone = append(d.zone, l.Zone)
-	d.state = append(d.state, l.State)
+	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
+	d.state, d.role = append(d.state, l.State), append(d.role, RoleUnknown)
 	d.started = append(d.started, l.Started)
-	d.role = append(d.role, RoleUnknown)
-	d.silent = append(d.silent, false)
-	d.back = append(d.back, false)
-	d.out = append(d.out, 0)
-	d.strikes = append(d.strikes, 0)
-	d.room = append(d.room, firstRoom)
-	d.took = append(d.took, g.took)
-	d.thawLeft = append(d.thawLeft, 1)
-	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking, &d.rest,
+	d.silent, d.back = append(d.silent, false), append(d.back, false)
+	d.out, d.strikes = append(d.out, 0), append(d.strikes, 0)
+	d.room, d.took, d.thawLeft = append(d.room, firstRoom), append(d.took, g.took), append(d.thawLeft, 1)
+	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking,
 		&d.aside, &d.lastCut, &d.thawAt} {
 		*times = append(*times, 0)
 	}
@@ -364,14 +351,9 @@
 		return nobody
 	}
 	var passers []member
-	passing := false
 	best := 0.0
 	for _, m := range g.members {
-		if m == p || !d.usable(m) || !d.fresh(m, c) || c.triedOn(m) {
-			continue
-		}
-		passing = true
-		if !d.hasRoom(m, 1) || !d.mayRepeat(c, m) {
+		if m == p || !d.usable(m) || !d.fresh(m, c) || c.triedOn(m) || !d.hasRoom(m, 1) || !d.mayRepeat(c, m) {
 			continue
 		}
 		if cost := d.cost(m); len(passers) == 0 || cost < best {
@@ -385,7 +367,6 @@
 	if p != nobody && d.usable(p) && !c.triedOn(p) && d.hasRoom(p, readShare) && d.mayRepeat(c, p) {
 		return p
 	}
-	_ = passing
 	return nobody
 }
 
@@ -408,9 +389,8 @@
 
 // usable tells whether a member may get anything at all.
 func (d *Driver) usable(m member) bool {
-	now := d.host.Now()
 	gone := d.state[m] == Draining || d.state[m] == Gone && !d.notice.DrainOnly
-	return !gone && !d.silent[m] && now >= d.aside[m] && now >= d.rest[m]
+	return !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
 func (d *Driver) hasRoom(m member, share float64) bool {
@@ -456,7 +436,7 @@
 		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
 		return
 	}
-	c := &call{RPC: rpc, method: method, group: g, taken: now, deadline: now + rpc.Left, soft: now + method.SoftDeadline}
+	c := &call{RPC: rpc, method: method, group: g, deadline: now + rpc.Left, soft: now + method.SoftDeadline}
 	if method.Need == NeedSession && !d.store.Carried {
 		c.Token = d.tokens[rpc.Session]
 	}
@@ -527,7 +507,7 @@
 	queue := g.held
 	g.held = nil
 	now := d.host.Now()
-	sort.SliceStable(queue, func(i, j int) bool { return queue[i].worth(now) > queue[j].worth(now) })
+	slices.SortStableFunc(queue, func(a, b *call) int { return cmp.Compare(b.worth(now), a.worth(now)) })
 	stuck := make([]bool, len(d.methods))
 	for _, c := range queue {
 		if c.ended || !c.held {
@@ -553,12 +533,7 @@
 }
 
 func (c *call) triedOn(m member) bool {
-	for _, t := range c.tried {
-		if t == m {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.tried, m)
 }
 
 func (d *Driver) callOut(c *call, m member) {
@@ -604,8 +579,8 @@
 
 // copyOut sends a second copy of an idempotent read that has been out for long, if recent ones did well.
 func (d *Driver) copyOut(c *call) {
-	now := d.host.Now()
-	if c.ended || len(c.out) != 1 || c.tries >= d.allowed.CallOuts || d.spare < 1 || now+int64(c.group.took) > c.deadline {
+	late := d.host.Now()+int64(c.group.took) > c.deadline
+	if c.ended || c.started || len(c.out) != 1 || c.tries >= d.allowed.CallOuts || d.spare < 1 || late {
 		return
 	}
 	if m := d.pick(c); m != nobody {
@@ -616,17 +591,13 @@
 
 // settle takes the result of a call-out and decides what follows.
 func (d *Driver) settle(c *call, m member, sent int64, number int, r Result) {
-	if r.Proof == Started {
-		d.end(c)
+	if r.Proof == Started { // the call-out is the client's now; what it ends with ends the RPC
+		c.started = true
+		d.cancelOut(c, number)
 		return
 	}
 	d.out[m]--
-	for i, n := range c.out {
-		if n == number {
-			c.out = append(c.out[:i], c.out[i+1:]...)
-			break
-		}
-	}
+	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
 	d.judge(c, m, r)
 	d.further(c, r)
 	if !c.ended {
@@ -660,6 +631,10 @@
 	if len(c.out) > 0 {
 		return
 	}
+	if c.started {
+		d.finish(c)
+		return
+	}
 	now := d.host.Now()
 	lost := r.Proof == MayHaveRun
 	if c.tries >= d.allowed.CallOuts || now >= c.deadline || !d.mayRepeat(c, m) || lost && d.spare < 1 {
@@ -687,8 +662,13 @@
 func (d *Driver) end(c *call) {
 	c.ended = true
 	delete(d.calls, c.ID)
-	if d.allowed.Cancel {
-		for _, n := range c.out {
+	d.cancelOut(c, -1)
+}
+
+// cancelOut calls off what is out for an RPC, but for one call-out.
+func (d *Driver) cancelOut(c *call, but int) {
+	for _, n := range c.out {
+		if d.allowed.Cancel && n != but {
 			d.host.Cancel(c.ID, n)
 		}
 	}
@@ -715,7 +695,7 @@
 		d.timed(m, max(r.Took, int64(d.took[m])))
 		d.teach(c, m, r.Took, now)
 	case r.Cause == Full:
-		d.rest[m] = now + fullRest
+		d.aside[m] = max(d.aside[m], now+fullRest)
 		d.room[m] = max(1, min(d.room[m], float64(d.out[m]+1))*0.8)
 	}
 }
