Let the primary share reads when its replicas would answer far later

Cause: reads queue on two small replicas while the primary idles (most members of a group are replicas, but a group of three may have one large primary). Small gain, kept: it also guards against any jam of all replicas; could harm writes where reads press on, hence the read share of the primary's room.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,7 @@
 	firstRoom     = 6.0      // call-outs of ours that a member may hold, before its answers teach better
 	mostRoom      = 64.0
 	readShare     = 0.6 // of the primary's room that reads may fill
+	jammed        = 2.0 // the primary helps out when it would answer so many times sooner
 	strikesOut    = 3   // call-outs lost in a row that set a member aside
 )
 
@@ -361,10 +362,11 @@
 		}
 		passers = append(passers, m)
 	}
-	if len(passers) > 0 {
+	spill := p != nobody && d.usable(p) && !c.triedOn(p) && d.hasRoom(p, readShare) && d.mayRepeat(c, p)
+	if len(passers) > 0 && !(spill && d.cost(p)*jammed < best) {
 		return d.windowed(passers, best)
 	}
-	if p != nobody && d.usable(p) && !c.triedOn(p) && d.hasRoom(p, readShare) && d.mayRepeat(c, p) {
+	if spill {
 		return p
 	}
 	return nobody
