--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -187,7 +187,11 @@
 }
 
 func (f *fields) crew() rules.Crew {
-	return rules.Crew{Drivers: int(f.integerOr("fleetSize", 1)), Zone: f.at["az"]}
+	c := rules.Crew{Drivers: int(f.integerOr("fleetSize", 1)), Zone: f.at["az"]}
+	if f.boolOr("limits.peerMessages", false) {
+		c.News = messageBytes / newsBytes
+	}
+	return c
 }
 
 func (f *fields) store() rules.Store {
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -149,6 +149,7 @@
 	case "PROBE_DONE":
 		d.probed(f)
 	case "WHISPER":
+		d.whisper(f)
 	default:
 		return fmt.Errorf("unknown message %q", f.name)
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -54,6 +54,13 @@
 type Crew struct {
 	Drivers int
 	Zone    string
+	News    int // sightings that one message to them holds, 0 where they cannot be told anything
+}
+
+// News is what one driver tells its fellows of a member.
+type News struct {
+	Member MemberID
+	Sighting
 }
 
 // Store says how the members replicate and what they check.
@@ -185,5 +192,6 @@
 	Probe(to MemberID, next func(ProbeResult))
 	After(wait int64, next func())
 	Watch()
+	Tell(news []News)
 	Log(line string)
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,7 +17,7 @@
 	ms  = int64(1_000_000)
 	sec = 1000 * ms
 
-	shortestProbe = 100 * ms // probe interval: a quarter of the smallest bound, kept within these
+	shortestProbe = 100 * ms // probe interval: half of the smallest bound, kept within these
 	longestProbe  = 250 * ms
 	hush          = 150 * ms // a probe unanswered for so long makes its member silent
 	longHush      = sec      // after so long a silence a member may have restarted
@@ -101,7 +101,7 @@
 	heard, asking        []int64 // last answer of any kind, and when the unanswered probe went out
 	rest, aside          []int64 // left alone until, set aside until
 	lastCut, thawAt      []int64
-	silent, back         []bool    // does not answer; on a trickle that doubles
+	silent, back, untold []bool    // does not answer; on a trickle that doubles; news to fellow drivers
 	out, strikes         []int     // call-outs of ours out, and those lost in a row
 	room, took, thawLeft []float64 // call-outs it may hold, smoothed answer time, budget while cold
 }
@@ -113,15 +113,18 @@
 		allowed: allowed, thaw: thaw, notice: notice, index: map[MemberID]member{}, groups: map[GroupID]*group{},
 		calls: map[RPCID]*call{}, tokens: map[string]int64{}, spare: 5, success: 0.5}
 	d.interval = probeInterval(methods)
+	if crew.News > 0 && crew.Drivers > 1 {
+		d.tellLoop()
+	}
 	return d
 }
 
-// probeInterval is a quarter of the smallest bound, within limits.
+// probeInterval is half of the smallest bound, within limits.
 func probeInterval(methods []Method) int64 {
 	every := longestProbe
 	for _, m := range methods {
 		if m.Need == NeedBounded {
-			every = min(every, m.Bound/4)
+			every = min(every, m.Bound/2)
 		}
 	}
 	return max(every, shortestProbe)
@@ -186,7 +189,7 @@
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.role = append(d.state, l.State), append(d.role, RoleUnknown)
 	d.started = append(d.started, l.Started)
-	d.silent, d.back = append(d.silent, false), append(d.back, false)
+	d.silent, d.back, d.untold = append(d.silent, false), append(d.back, false), append(d.untold, false)
 	d.out, d.strikes = append(d.out, 0), append(d.strikes, 0)
 	d.room, d.took, d.thawLeft = append(d.room, firstRoom), append(d.took, g.took), append(d.thawLeft, 1)
 	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking,
@@ -201,11 +204,11 @@
 
 // ---- Probes, positions and roles ----
 
-// probeLoop probes a member every interval, for as long as the list has it. An answer that brought a position
-// since stands in for the probe.
+// probeLoop probes a member every interval, for as long as the list has it. An answer, or a fellow driver's news,
+// that brought a position since stands in for the probe.
 func (d *Driver) probeLoop(m member) {
 	now := d.host.Now()
-	if d.asking[m] == 0 && (d.learned[m] == 0 || now-d.learned[m] >= d.interval) {
+	if d.asking[m] == 0 && (d.silent[m] || d.learned[m] == 0 || now-d.learned[m] >= d.interval) {
 		d.asking[m] = now
 		d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
 		d.host.After(hush, func() { d.checkSilence(m) })
@@ -226,9 +229,35 @@
 	d.alive(m)
 	d.of[m].heard = true
 	d.sighted(m, r.Sighting, false)
+	d.untold[m] = d.untold[m] || d.learned[m] == d.host.Now()
 	d.wake(d.of[m])
 }
 
+// tellLoop passes on to the fellow drivers what was learned first-hand since the last time.
+func (d *Driver) tellLoop() {
+	var news []News
+	for m, untold := range d.untold {
+		if untold && len(news) < d.crew.News {
+			d.untold[m] = false
+			news = append(news, News{d.ids[m], Sighting{d.role[m], d.pos[m]}})
+		}
+	}
+	if len(news) > 0 {
+		d.host.Tell(news)
+	}
+	d.host.After(d.interval, d.tellLoop)
+}
+
+// Told takes in a fellow driver's news. A position once true stays true, whoever saw it.
+func (d *Driver) Told(news []News) {
+	for _, n := range news {
+		if m, known := d.index[n.Member]; known && n.Position > d.pos[m] {
+			d.sighted(m, n.Sighting, false)
+			d.wake(d.of[m])
+		}
+	}
+}
+
 func (d *Driver) checkSilence(m member) {
 	now := d.host.Now()
 	if d.asking[m] != 0 && now-d.asking[m] >= hush && now-d.heard[m] >= hush {
@@ -685,6 +714,7 @@
 	case NoCause, Errored, Missed, Full:
 		d.alive(m)
 		d.sighted(m, r.Sighting, true)
+		d.untold[m] = d.untold[m] || d.learned[m] == now
 	case TimedOut, Reset, NoConnect:
 		d.strike(m, now)
 	}
