--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,6 +21,7 @@
 	longestProbe  = 250 * ms
 	hush          = 150 * ms // a probe unanswered for so long makes its member silent
 	longHush      = sec      // after so long a silence a member may have restarted
+	handover      = 200 * ms // a member that turned a write away is not believed primary again for so long
 	window        = 15 * ms  // width of the latency window above the fastest
 	wideWindow    = 0.25     // and this share of the fastest on top
 	fullRest      = 40 * ms  // a member that turned work away full is left alone so long
@@ -315,8 +316,8 @@
 	if dated == 0 {
 		dated = now
 	}
-	if !answer && dated <= d.demoted[m] {
-		return // a report from before the answer that demoted it
+	if d.demoted[m] != 0 && dated <= d.demoted[m]+handover {
+		return // from before the answer that demoted it, or from a member about to hand over
 	}
 	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.least[m]) {
 		d.least[m] = lead
