--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,7 +26,7 @@
 	wideWindow    = 0.25     // and this share of the fastest on top
 	fullRest      = 40 * ms  // a member that turned work away full is left alone so long
 	holdPoll      = 100 * ms // an RPC held looks again this often
-	firstRoom     = 6.0      // call-outs of ours that a member may hold, before its answers teach better
+	firstRoom     = 3.0      // call-outs of ours that a member may hold, before its answers teach better
 	mostRoom      = 64.0
 	readShare     = 0.6 // of the primary's room that reads may fill
 	jammed        = 2.0 // the primary helps out when it would answer so many times sooner
