Steer a member's room by the smoothed strain on the soft deadline

Room was cut by single late answers, which a wide spread of work gives anyway, and grown by as many short ones. Also guards against any slow drift of a member into overload; could harm a method whose work alone takes most of its soft deadline, there room stays at one.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,6 +30,7 @@
 	mostRoom      = 64.0
 	readShare     = 0.6 // of the primary's room that reads may fill
 	jammed        = 2.0 // the primary helps out when it would answer so many times sooner
+	strained      = 0.4 // smoothed share of the soft deadline that answers may take
 	strikesOut    = 3   // call-outs lost in a row that set a member aside
 )
 
@@ -90,21 +91,21 @@
 	success  float64 // share of recent further call-outs that were ok
 
 	// What is known of each member, by its dense index. Times are 0 for never.
-	ids                  []MemberID
-	of                   []*group
-	zone                 []string
-	state                []State
-	role                 []Role
-	started              []int64 // when it last started, as listed or suspected
-	demoted              []int64 // when an answer last told that it is no primary
-	pos, learned         []int64 // last known position, and when it was learned
-	least                []int64 // least learned-pos of a primary in its term
-	heard, asking        []int64 // last answer of any kind, and when the unanswered probe went out
-	rest, aside          []int64 // left alone until, set aside until
-	lastCut, thawAt      []int64
-	silent, back, untold []bool    // does not answer; on a trickle that doubles; news to fellow drivers
-	out, strikes         []int     // call-outs of ours out, and those lost in a row
-	room, took, thawLeft []float64 // call-outs it may hold, smoothed answer time, budget while cold
+	ids                          []MemberID
+	of                           []*group
+	zone                         []string
+	state                        []State
+	role                         []Role
+	started                      []int64 // when it last started, as listed or suspected
+	demoted                      []int64 // when an answer last told that it is no primary
+	pos, learned                 []int64 // last known position, and when it was learned
+	least                        []int64 // least learned-pos of a primary in its term
+	heard, asking                []int64 // last answer of any kind, and when the unanswered probe went out
+	rest, aside                  []int64 // left alone until, set aside until
+	thawAt                       []int64
+	silent, back, untold         []bool    // does not answer; on a trickle that doubles; news to fellow drivers
+	out, strikes                 []int     // call-outs of ours out, and those lost in a row
+	room, took, strain, thawLeft []float64 // call-outs it may hold, smoothed answer time, budget while cold
 }
 
 // New makes a driver that knows nothing yet; the first List follows at once.
@@ -193,8 +194,8 @@
 	d.silent, d.back, d.untold = append(d.silent, false), append(d.back, false), append(d.untold, false)
 	d.out, d.strikes = append(d.out, 0), append(d.strikes, 0)
 	d.room, d.took, d.thawLeft = append(d.room, firstRoom), append(d.took, g.took), append(d.thawLeft, 1)
-	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking,
-		&d.aside, &d.lastCut, &d.thawAt} {
+	d.strain = append(d.strain, 0)
+	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking, &d.aside, &d.thawAt} {
 		*times = append(*times, 0)
 	}
 	if d.allowed.Probes {
@@ -416,7 +417,7 @@
 
 // cost is the answer time to expect of a member: what it took of late, and what we have out there.
 func (d *Driver) cost(m member) float64 {
-	return d.took[m] * (1 + 0.25*float64(d.out[m]))
+	return d.took[m] * (1 + float64(d.out[m]))
 }
 
 // usable tells whether a member may get anything at all.
@@ -723,10 +724,10 @@
 	case r.Proof == OK:
 		d.strikes[m] = 0
 		d.timed(m, r.Took)
-		d.teach(c, m, r.Took, now)
+		d.teach(c, m, r.Took)
 	case r.Cause == TimedOut:
 		d.timed(m, max(r.Took, int64(d.took[m])))
-		d.teach(c, m, r.Took, now)
+		d.teach(c, m, r.Took)
 	case r.Cause == Full:
 		d.aside[m] = max(d.aside[m], now+fullRest)
 		d.room[m] = max(1, min(d.room[m], float64(d.out[m]+1))*0.8)
@@ -739,14 +740,13 @@
 	g.took += 0.03 * (float64(took) - g.took)
 }
 
-// teach grows a member's room while its answers come well in time, doubling on a trickle, and cuts it when late.
-func (d *Driver) teach(c *call, m member, took, now int64) {
+// teach grows a member's room while its answers come well in time, doubling on a trickle, and cuts it while they
+// strain the soft deadline: what it cannot answer in time is better held or pushed back than worked on in vain.
+func (d *Driver) teach(c *call, m member, took int64) {
+	d.strain[m] += 0.1 * (float64(took)/float64(c.method.SoftDeadline) - d.strain[m])
 	switch {
-	case took > c.method.SoftDeadline*6/10:
-		if now-d.lastCut[m] > int64(d.took[m]) {
-			d.lastCut[m] = now
-			d.room[m] = max(1, d.room[m]*0.85)
-		}
+	case d.strain[m] > strained:
+		d.room[m] = max(1, d.room[m]*0.95)
 		d.back[m] = false
 	case d.back[m]:
 		d.room[m] *= 2
@@ -754,8 +754,8 @@
 			d.back[m] = false
 			d.logf("back member=%d room=%.0f", d.ids[m], d.room[m])
 		}
-	case took < c.method.SoftDeadline*4/10 && float64(d.out[m])+2 >= d.room[m]:
-		d.room[m] = min(mostRoom, d.room[m]+1/d.room[m])
+	case float64(d.out[m])+2 >= d.room[m]:
+		d.room[m] = min(mostRoom, d.room[m]+0.5/d.room[m])
 	}
 }
 
