--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -259,7 +259,7 @@
 
 func (f *fields) probeResult(epoch int64) rules.ProbeResult {
 	end := choice(f, "outcome", f.text("outcome"), endings)
-	r := rules.ProbeResult{OK: end.proof == rules.OK, Took: f.time("waitTimeUs")}
+	r := rules.ProbeResult{Cause: end.cause, Took: f.time("waitTimeUs")}
 	load := &fields{name: f.name + " report", at: map[string]string{}}
 	for _, pair := range f.list("report") {
 		name, value, ok := strings.Cut(pair, ":")
--- a/rules/api.go
+++ b/rules/api.go
@@ -172,9 +172,9 @@
 	Sighting
 }
 
-// ProbeResult is what a probe found.
+// ProbeResult is what a probe found. Cause is NoCause when it was answered.
 type ProbeResult struct {
-	OK    bool
+	Cause Cause
 	Took  int64
 	Util  float64
 	Queue float64 // RPCs waiting
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -224,12 +224,12 @@
 
 func (d *Driver) probed(m member, r ProbeResult) {
 	d.asking[m] = 0
-	if !r.OK {
+	if r.Cause != NoCause && r.Cause != Full { // a member too busy for probes is alive
 		d.hushed(m)
 		return
 	}
 	d.alive(m)
-	d.of[m].heard = true
+	d.of[m].heard = d.of[m].heard || r.Cause == NoCause
 	d.sighted(m, r.Sighting, false)
 	d.untold[m] = d.untold[m] || d.learned[m] == d.host.Now()
 	d.wake(d.of[m])
