Lay the module out in parts; more patience before further call-outs

No record holds all settings now: roster, sightings, health, thawing and spares take their few each. One patience serves copies and time-outs.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,6 +26,7 @@
 	wideWindow    = 0.25     // and this share of the fastest on top
 	fullRest      = 40 * ms  // a member that turned work away full is left alone so long
 	holdPoll      = 100 * ms // an RPC held looks again this often
+	firstTook     = 100 * ms // answer time to expect before any was seen
 	firstRoom     = 3.0      // call-outs of ours that a member may hold, before its answers teach better
 	mostRoom      = 64.0
 	readShare     = 0.6 // of the primary's room that reads may fill
@@ -34,20 +35,66 @@
 	strikesOut    = 3   // call-outs lost in a row that set a member aside
 )
 
-type member int // dense index of a member in the parallel arrays
+type member int // dense index of a member in the parallel arrays of the parts below
 
 const nobody member = -1
 
+// grow makes room for one more member in arrays of one type.
+func grow[T any](lists ...*[]T) {
+	for _, l := range lists {
+		var zero T
+		*l = append(*l, zero)
+	}
+}
+
+// roster is what the list tells, and how it is kept up.
+type roster struct {
+	notice   Notice
+	asked    bool
+	askTries int
+	ids      []MemberID
+	of       []*group
+	zone     []string
+	state    []State
+}
+
+// sightings are the positions and roles seen. Times are 0 for never, here and below.
+type sightings struct {
+	store                         Store
+	interval                      int64   // between probes of one member
+	pos, learned, demoted, primed []int64 // position, when learned; when told it is no primary; least age as primary
+	role                          []Role
+	untold                        []bool // the fellow drivers have not been told
+}
+
+// health is how members answer this driver.
+type health struct {
+	heard, asking, aside []int64   // last answer; the unanswered probe's time; set aside until
+	silent, back         []bool    // does not answer; on a trickle that doubles
+	out, lost            []int     // call-outs out, and those lost in a row
+	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and that as share of soft deadlines
+}
+
+// thawing is the budget of members that have just started.
+type thawing struct {
+	Thaw
+	started, at []int64
+	left        []float64 // call-outs it may get now
+}
+
+// spares is the budget of further call-outs: it follows the share of recent ones that were ok.
+type spares struct{ left, success float64 }
+
 type group struct {
-	id       GroupID
-	members  []member
-	primary  member
-	since    int64 // date of the evidence that named the primary
-	heard    bool  // some member has answered a probe
-	held     []*call
-	sendRate float64 // call-outs a second of this driver, smoothed
-	lastSend int64
-	took     float64 // smoothed answer time
+	id      GroupID
+	members []member
+	primary member
+	since   int64 // date of the evidence that named the primary
+	heard   bool  // some probe has come back
+	held    []*call
+	rate    float64 // call-outs a second of this driver, smoothed
+	last    int64
+	took    float64 // smoothed answer time
 }
 
 // call is an RPC being worked on.
@@ -62,61 +109,38 @@
 	tried    []member
 	risk     int64 // when the first call-out that may have run was sent, 0 for none
 	riskZone string
-	ended    bool
 	held     bool
 	started  bool // its answer has begun to stream
+	ended    bool
 }
 
 // Driver decides for one instance.
 type Driver struct {
-	host     Host
-	rng      *rand.Rand
-	methods  []Method
-	crew     Crew
-	store    Store
-	allowed  Allowed
-	thaw     Thaw
-	notice   Notice
-	interval int64
-
-	index  map[MemberID]member
-	groups map[GroupID]*group
-	order  []*group
-	calls  map[RPCID]*call
-	tokens map[string]int64
-
-	asked    bool
-	askTries int
-	spare    float64 // further call-outs that may be made now
-	success  float64 // share of recent further call-outs that were ok
-
-	// What is known of each member, by its dense index. Times are 0 for never.
-	ids                          []MemberID
-	of                           []*group
-	zone                         []string
-	state                        []State
-	role                         []Role
-	started                      []int64 // when it last started, as listed or suspected
-	demoted                      []int64 // when an answer last told that it is no primary
-	pos, learned                 []int64 // last known position, and when it was learned
-	least                        []int64 // least learned-pos of a primary in its term
-	heard, asking                []int64 // last answer of any kind, and when the unanswered probe went out
-	rest, aside                  []int64 // left alone until, set aside until
-	thawAt                       []int64
-	silent, back, untold         []bool    // does not answer; on a trickle that doubles; news to fellow drivers
-	out, strikes                 []int     // call-outs of ours out, and those lost in a row
-	room, took, strain, thawLeft []float64 // call-outs it may hold, smoothed answer time, budget while cold
+	roster
+	sightings
+	health
+	thawing
+	spare   spares
+	host    Host
+	rng     *rand.Rand
+	methods []Method
+	allowed Allowed
+	index   map[MemberID]member
+	groups  map[GroupID]*group
+	order   []*group
+	calls   map[RPCID]*call
+	tokens  map[string]int64 // last commit of a session, as answers told
 }
 
 // New makes a driver that knows nothing yet; the first List follows at once.
 func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw,
 	notice Notice) *Driver {
-	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, crew: crew, store: store,
-		allowed: allowed, thaw: thaw, notice: notice, index: map[MemberID]member{}, groups: map[GroupID]*group{},
-		calls: map[RPCID]*call{}, tokens: map[string]int64{}, spare: 5, success: 0.5}
-	d.interval = probeInterval(methods)
+	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
+		roster: roster{notice: notice}, sightings: sightings{store: store, interval: probeInterval(methods)},
+		thawing: thawing{Thaw: thaw}, spare: spares{left: 5, success: 0.5}, index: map[MemberID]member{},
+		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
 	if crew.News > 0 && crew.Drivers > 1 {
-		d.tellLoop()
+		d.tellLoop(crew.News)
 	}
 	return d
 }
@@ -146,9 +170,7 @@
 		}
 		seen[m] = true
 		d.state[m] = l.State
-		if l.Started > d.started[m] {
-			d.started[m] = l.Started
-		}
+		d.started[m] = max(d.started[m], l.Started)
 		if g := d.of[m]; l.Primary && g.primary == nobody && d.role[m] == RoleUnknown {
 			g.primary = m
 		}
@@ -182,22 +204,20 @@
 	m := member(len(d.ids))
 	g := d.groups[l.Group]
 	if g == nil {
-		g = &group{id: l.Group, primary: nobody, took: float64(100 * ms)}
+		g = &group{id: l.Group, primary: nobody, took: float64(firstTook)}
 		d.groups[l.Group] = g
 		d.order = append(d.order, g)
 	}
 	g.members = append(g.members, m)
 	d.index[l.Member] = m
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
-	d.state, d.role = append(d.state, l.State), append(d.role, RoleUnknown)
-	d.started = append(d.started, l.Started)
-	d.silent, d.back, d.untold = append(d.silent, false), append(d.back, false), append(d.untold, false)
-	d.out, d.strikes = append(d.out, 0), append(d.strikes, 0)
-	d.room, d.took, d.thawLeft = append(d.room, firstRoom), append(d.took, g.took), append(d.thawLeft, 1)
-	d.strain = append(d.strain, 0)
-	for _, times := range []*[]int64{&d.demoted, &d.pos, &d.learned, &d.least, &d.heard, &d.asking, &d.aside, &d.thawAt} {
-		*times = append(*times, 0)
-	}
+	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
+	grow(&d.pos, &d.learned, &d.demoted, &d.primed, &d.heard, &d.asking, &d.aside, &d.at)
+	grow(&d.silent, &d.back, &d.untold)
+	grow(&d.out, &d.lost)
+	grow(&d.role)
+	d.room, d.took = append(d.room, firstRoom), append(d.took, g.took)
+	d.strain, d.thawing.left = append(d.strain, 0), append(d.thawing.left, 1)
 	if d.allowed.Probes {
 		d.probeLoop(m)
 	}
@@ -224,22 +244,23 @@
 
 func (d *Driver) probed(m member, r ProbeResult) {
 	d.asking[m] = 0
+	d.of[m].heard = true
 	if r.Cause != NoCause && r.Cause != Full { // a member too busy for probes is alive
 		d.hushed(m)
+		d.wake(d.of[m])
 		return
 	}
 	d.alive(m)
-	d.of[m].heard = d.of[m].heard || r.Cause == NoCause
 	d.sighted(m, r.Sighting, false)
 	d.untold[m] = d.untold[m] || d.learned[m] == d.host.Now()
 	d.wake(d.of[m])
 }
 
 // tellLoop passes on to the fellow drivers what was learned first-hand since the last time.
-func (d *Driver) tellLoop() {
+func (d *Driver) tellLoop(most int) {
 	var news []News
 	for m, untold := range d.untold {
-		if untold && len(news) < d.crew.News {
+		if untold && len(news) < most {
 			d.untold[m] = false
 			news = append(news, News{d.ids[m], Sighting{d.role[m], d.pos[m]}})
 		}
@@ -247,7 +268,7 @@
 	if len(news) > 0 {
 		d.host.Tell(news)
 	}
-	d.host.After(d.interval, d.tellLoop)
+	d.host.After(d.interval, func() { d.tellLoop(most) })
 }
 
 // Told takes in a fellow driver's news. A position once true stays true, whoever saw it.
@@ -284,7 +305,7 @@
 		gap := now - d.heard[m]
 		d.logf("answers again member=%d after_ms=%d", d.ids[m], gap/ms)
 		if gap > longHush {
-			d.trickle(m)
+			d.room[m], d.back[m] = 1, true
 			d.started[m] = max(d.started[m], now-hush)
 		}
 	}
@@ -313,27 +334,19 @@
 		}
 		return
 	}
-	dated := s.Position
-	if dated == 0 {
-		dated = now
-	}
+	dated := cmp.Or(s.Position, now)
 	if d.demoted[m] != 0 && dated <= d.demoted[m]+handover {
 		return // from before the answer that demoted it, or from a member about to hand over
 	}
-	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.least[m]) {
-		d.least[m] = lead
+	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.primed[m]) {
+		d.primed[m] = lead
 	}
 	d.role[m] = RolePrimary
 	if g.primary != m && dated >= g.since {
-		if g.primary != nobody {
-			d.role[g.primary] = RoleReplica
-		}
 		g.primary = m
 		d.logf("primary group=%d member=%d evidence_ms=%d", g.id, d.ids[m], (now-dated)/ms)
 	}
-	if g.primary == m {
-		g.since = max(g.since, dated)
-	}
+	g.since = max(g.since, dated)
 }
 
 // staleness is the source's estimate. The primary's term is the least of its term of office, so that a slow
@@ -341,14 +354,11 @@
 func (d *Driver) staleness(m member) int64 {
 	g := d.of[m]
 	unheard := max(d.interval, d.host.Now()-d.learned[m])
-	if p := g.primary; p != nobody && d.least[p] != 0 {
-		return d.learned[m] - d.pos[m] - d.least[p] + unheard
-	}
-	newest := int64(0)
-	for _, o := range g.members {
-		newest = max(newest, d.pos[o])
+	if p := g.primary; p != nobody && d.primed[p] != 0 {
+		return d.learned[m] - d.pos[m] - d.primed[p] + unheard
 	}
-	return newest - d.pos[m] + unheard
+	newest := slices.MaxFunc(g.members, func(a, b member) int { return cmp.Compare(d.pos[a], d.pos[b]) })
+	return d.pos[newest] - d.pos[m] + unheard
 }
 
 // fresh tells whether a replica's data will do for an RPC.
@@ -371,21 +381,15 @@
 
 // pick names the member for the next call-out of an RPC, or nobody if it has to wait.
 func (d *Driver) pick(c *call) member {
-	g := c.group
-	p := g.primary
-	if c.method.Need == NeedPrimary || c.method.Need == NeedFresh {
-		if p != nobody && d.usable(p) && d.hasRoom(p, 1) && d.mayRepeat(c, p) {
-			return p
-		}
-		return nobody
-	}
+	g, p := c.group, c.group.primary
 	if !g.heard && d.allowed.Probes {
 		return nobody
 	}
 	var passers []member
 	best := 0.0
 	for _, m := range g.members {
-		if m == p || !d.usable(m) || !d.fresh(m, c) || c.triedOn(m) || !d.hasRoom(m, 1) || !d.mayRepeat(c, m) {
+		fit := m != p && d.fresh(m, c) && d.usable(m) && d.hasRoom(m, 1) && d.mayRepeat(c, m)
+		if !fit || slices.Contains(c.tried, m) {
 			continue
 		}
 		if cost := d.cost(m); len(passers) == 0 || cost < best {
@@ -393,16 +397,23 @@
 		}
 		passers = append(passers, m)
 	}
-	spill := p != nobody && d.usable(p) && !c.triedOn(p) && d.hasRoom(p, readShare) && d.mayRepeat(c, p)
-	if len(passers) > 0 && !(spill && d.cost(p)*jammed < best) {
+	share, again := 1.0, true
+	if c.isRead() {
+		share, again = readShare, !slices.Contains(c.tried, p)
+	}
+	primary := p != nobody && again && d.usable(p) && d.hasRoom(p, share) && d.mayRepeat(c, p)
+	if len(passers) > 0 && !(primary && d.cost(p)*jammed < best) {
 		return d.windowed(passers, best)
 	}
-	if spill {
+	if primary {
 		return p
 	}
 	return nobody
 }
 
+// isRead tells whether a replica may answer.
+func (c *call) isRead() bool { return c.method.Need != NeedPrimary && c.method.Need != NeedFresh }
+
 // windowed picks at random among the passers whose expected answer time lies in the latency window.
 func (d *Driver) windowed(passers []member, best float64) member {
 	limit := best*(1+wideWindow) + float64(window)
@@ -436,15 +447,15 @@
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
 	age := now - d.started[m]
-	if d.started[m] == 0 || age >= d.thaw.WarmAfter {
+	if d.started[m] == 0 || age >= d.WarmAfter {
 		return true
 	}
-	able := d.thaw.Share + (1-d.thaw.Share)*float64(age)/float64(d.thaw.WarmAfter)
-	g := d.of[m]
-	rate := able * g.sendRate / float64(max(1, len(g.members)))
-	d.thawLeft[m] = min(1+rate*0.2, d.thawLeft[m]+rate*float64(now-d.thawAt[m])/float64(sec))
-	d.thawAt[m] = now
-	return d.thawLeft[m] >= 1
+	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
+	rate := able * d.of[m].rate / float64(len(d.of[m].members))
+	left := &d.thawing.left[m]
+	*left = min(1+rate*0.2, *left+rate*float64(now-d.at[m])/float64(sec))
+	d.at[m] = now
+	return *left >= 1
 }
 
 // mayRepeat keeps the rule on effects for a call-out that would follow others.
@@ -474,7 +485,7 @@
 		c.Token = d.tokens[rpc.Session]
 	}
 	d.calls[rpc.ID] = c
-	d.spare = min(10, d.spare+0.02+0.15*d.success)
+	d.spare.earn()
 	d.step(c)
 }
 
@@ -503,20 +514,13 @@
 }
 
 func (d *Driver) hold(c *call) {
-	now := d.host.Now()
-	left := d.giveUp(c) - now
-	if left <= 0 {
-		d.finish(c)
-		return
-	}
-	if !c.held {
-		c.held = true
-		c.group.held = append(c.group.held, c)
-		d.host.After(min(left, holdPoll), func() { d.poll(c) })
-	}
+	c.held = true
+	c.group.held = append(c.group.held, c)
+	d.recheck(c)
 }
 
-func (d *Driver) poll(c *call) {
+// recheck looks at a held RPC now and then, until it goes out or no answer could be of use.
+func (d *Driver) recheck(c *call) {
 	if c.ended || !c.held {
 		return
 	}
@@ -525,11 +529,11 @@
 		d.finish(c)
 		return
 	}
-	c.tried = c.tried[:0]
-	d.wake(c.group)
-	if c.held && !c.ended {
-		d.host.After(min(left, holdPoll), func() { d.poll(c) })
-	}
+	d.host.After(min(left, holdPoll), func() {
+		c.tried = c.tried[:0]
+		d.wake(c.group)
+		d.recheck(c)
+	})
 }
 
 // wake looks again at the RPCs held for a group, those of most utility first.
@@ -565,59 +569,53 @@
 	return c.method.Utility
 }
 
-func (c *call) triedOn(m member) bool {
-	return slices.Contains(c.tried, m)
-}
-
 func (d *Driver) callOut(c *call, m member) {
 	now := d.host.Now()
 	c.tries++
 	c.tried = append(c.tried, m)
 	d.out[m]++
-	d.thawLeft[m]--
+	d.thawing.left[m]--
 	c.group.sent(now)
-	within := d.patience(c, m, now)
+	within := d.patience(c, m)
 	var number int
 	number = d.host.CallOut(c.ID, d.ids[m], within, func(r Result) { d.settle(c, m, now, number, r) })
 	c.out = append(c.out, number)
-	if d.allowed.Copies && c.method.Effect == Idempotent && c.method.Need != NeedFresh && len(c.out) == 1 {
-		d.host.After(d.copyAfter(c, m), func() { d.copyOut(c) })
+	if d.allowed.Copies && c.method.Effect == Idempotent && c.isRead() && len(c.out) == 1 {
+		d.host.After(d.tooLong(c, m), func() { d.copyOut(c) })
 	}
 }
 
 func (g *group) sent(now int64) {
-	gap := float64(max(now-g.lastSend, ms)) / float64(sec)
-	g.lastSend = now
+	gap := float64(max(now-g.last, ms)) / float64(sec)
+	g.last = now
 	weight := min(0.05, gap)
-	g.sendRate += weight * (min(1/gap, 1000) - g.sendRate)
+	g.rate += weight * (min(1/gap, 1000) - g.rate)
 }
 
-// patience is the time-out of a call-out. Where copies are not allowed an idempotent RPC leaves a member that
-// keeps it waiting much longer than usual while there is time for another; else it waits to the deadline.
-func (d *Driver) patience(c *call, m member, now int64) int64 {
-	left := c.deadline - now
-	if d.allowed.Copies || c.method.Effect != Idempotent || c.method.Need == NeedFresh || d.spare < 1 {
-		return left
-	}
-	wait := max(int64(4*d.took[m]), c.method.SoftDeadline/2)
-	if wait+int64(2*c.group.took) > left {
+// patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member that
+// keeps it waiting too long while there is time for another; else it waits to the deadline.
+func (d *Driver) patience(c *call, m member) int64 {
+	left := c.deadline - d.host.Now()
+	wait := d.tooLong(c, m)
+	if d.allowed.Copies || c.method.Effect != Idempotent || !c.isRead() || d.spare.left < 1 ||
+		wait+int64(2*c.group.took) > left {
 		return left
 	}
 	return wait
 }
 
-func (d *Driver) copyAfter(c *call, m member) int64 {
-	return max(int64(2.5*d.took[m]), c.method.SoftDeadline*2/5)
+func (d *Driver) tooLong(c *call, m member) int64 {
+	return max(int64(4*d.took[m]), c.method.SoftDeadline*6/10)
 }
 
 // copyOut sends a second copy of an idempotent read that has been out for long, if recent ones did well.
 func (d *Driver) copyOut(c *call) {
 	late := d.host.Now()+int64(c.group.took) > c.deadline
-	if c.ended || c.started || len(c.out) != 1 || c.tries >= d.allowed.CallOuts || d.spare < 1 || late {
+	if c.ended || c.started || len(c.out) != 1 || c.tries >= d.allowed.CallOuts || d.spare.left < 1 || late {
 		return
 	}
 	if m := d.pick(c); m != nobody {
-		d.spare--
+		d.spare.left--
 		d.callOut(c, m)
 	}
 }
@@ -632,21 +630,21 @@
 	d.out[m]--
 	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
 	d.judge(c, m, r)
-	d.further(c, r)
+	if c.tries > 1 && (r.Proof == OK || r.Proof == MayHaveRun) {
+		d.spare.learn(r.Proof == OK)
+	}
 	if !c.ended {
 		d.next(c, m, sent, r)
 	}
 	d.wake(c.group)
 }
 
-// further learns how well further call-outs do.
-func (d *Driver) further(c *call, r Result) {
-	if c.tries > 1 && (r.Proof == OK || r.Proof == MayHaveRun) {
-		good := 0.0
-		if r.Proof == OK {
-			good = 1
-		}
-		d.success += 0.1 * (good - d.success)
+func (s *spares) earn() { s.left = min(10, s.left+0.02+0.15*s.success) }
+
+func (s *spares) learn(ok bool) {
+	s.success *= 0.9
+	if ok {
+		s.success += 0.1
 	}
 }
 
@@ -664,18 +662,14 @@
 	if len(c.out) > 0 {
 		return
 	}
-	if c.started {
-		d.finish(c)
-		return
-	}
-	now := d.host.Now()
 	lost := r.Proof == MayHaveRun
-	if c.tries >= d.allowed.CallOuts || now >= c.deadline || !d.mayRepeat(c, m) || lost && d.spare < 1 {
+	over := c.started || c.tries >= d.allowed.CallOuts || d.host.Now() >= c.deadline
+	if over || !d.mayRepeat(c, m) || lost && d.spare.left < 1 {
 		d.finish(c)
 		return
 	}
 	if lost {
-		d.spare--
+		d.spare.left--
 	}
 	d.step(c)
 }
@@ -722,11 +716,9 @@
 	}
 	switch {
 	case r.Proof == OK:
-		d.strikes[m] = 0
-		d.timed(m, r.Took)
+		d.lost[m] = 0
 		d.teach(c, m, r.Took)
-	case r.Cause == TimedOut:
-		d.timed(m, max(r.Took, int64(d.took[m])))
+	case r.Cause == TimedOut && r.Took > int64(d.took[m]):
 		d.teach(c, m, r.Took)
 	case r.Cause == Full:
 		d.aside[m] = max(d.aside[m], now+fullRest)
@@ -734,15 +726,11 @@
 	}
 }
 
-func (d *Driver) timed(m member, took int64) {
-	d.took[m] += 0.15 * (float64(took) - d.took[m])
-	g := d.of[m]
-	g.took += 0.03 * (float64(took) - g.took)
-}
-
-// teach grows a member's room while its answers come well in time, doubling on a trickle, and cuts it while they
+// teach learns how long a member takes. It grows its room while its answers come well in time, doubling on a trickle, and cuts it while they
 // strain the soft deadline: what it cannot answer in time is better held or pushed back than worked on in vain.
 func (d *Driver) teach(c *call, m member, took int64) {
+	d.took[m] += 0.15 * (float64(took) - d.took[m])
+	c.group.took += 0.03 * (float64(took) - c.group.took)
 	d.strain[m] += 0.1 * (float64(took)/float64(c.method.SoftDeadline) - d.strain[m])
 	switch {
 	case d.strain[m] > strained:
@@ -761,19 +749,15 @@
 
 // strike counts call-outs lost in a row. Guards against members that answer probes but finish nothing.
 func (d *Driver) strike(m member, now int64) {
-	d.strikes[m]++
-	if d.strikes[m] >= strikesOut && now >= d.aside[m] {
-		wait := min(8*sec, sec/2<<min(4, d.strikes[m]-strikesOut))
+	d.lost[m]++
+	if d.lost[m] >= strikesOut && now >= d.aside[m] {
+		wait := min(8*sec, sec/2<<min(4, d.lost[m]-strikesOut))
 		d.aside[m] = now + wait
-		d.trickle(m)
-		d.logf("set aside member=%d lost=%d for_ms=%d", d.ids[m], d.strikes[m], wait/ms)
+		d.room[m], d.back[m] = 1, true
+		d.logf("set aside member=%d lost=%d for_ms=%d", d.ids[m], d.lost[m], wait/ms)
 	}
 }
 
-func (d *Driver) trickle(m member) {
-	d.room[m], d.back[m] = 1, true
-}
-
 func (d *Driver) logf(format string, args ...any) {
 	d.host.Log(fmt.Sprintf(format, args...))
 }
