Give a cold member half the stated multiple of its least ability

Could harm where the warm members of a group are far larger than the cold one: half the multiple is the margin for that.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -451,7 +451,7 @@
 		return true
 	}
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	rate := able * d.of[m].rate / float64(len(d.of[m].members))
+	rate := min(1, able*d.Multiple/2) * d.of[m].rate / float64(len(d.of[m].members))
 	left := &d.thawing.left[m]
 	*left = min(1+rate*0.2, *left+rate*float64(now-d.at[m])/float64(sec))
 	d.at[m] = now
