--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,11 +28,10 @@
 	holdPoll      = 100 * ms // an RPC held looks again this often
 	firstTook     = 100 * ms // answer time to expect before any was seen
 	firstRoom     = 3.0      // call-outs of ours that a member may hold, before its answers teach better
-	mostRoom      = 64.0
-	readShare     = 0.6 // of the primary's room that reads may fill
-	jammed        = 2.0 // the primary helps out when it would answer so many times sooner
-	strained      = 0.4 // smoothed share of the soft deadline that answers may take
-	strikesOut    = 3   // call-outs lost in a row that set a member aside
+	readShare     = 0.6      // of the primary's room that reads may fill
+	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
+	strained      = 0.4      // smoothed share of the soft deadline that answers may take
+	strikesOut    = 3        // call-outs lost in a row that set a member aside
 )
 
 type member int // dense index of a member in the parallel arrays of the parts below
@@ -60,11 +59,11 @@
 
 // sightings are the positions and roles seen. Times are 0 for never, here and below.
 type sightings struct {
-	store                         Store
-	interval                      int64   // between probes of one member
-	pos, learned, demoted, primed []int64 // position, when learned; when told it is no primary; least age as primary
-	role                          []Role
-	untold                        []bool // the fellow drivers have not been told
+	store                        Store
+	interval                     int64   // between probes of one member
+	pos, learned, demoted, least []int64 // least: of its age as primary
+	role                         []Role
+	untold                       []bool // the fellow drivers have not been told
 }
 
 // health is how members answer this driver.
@@ -72,7 +71,7 @@
 	heard, asking, aside []int64   // last answer; the unanswered probe's time; set aside until
 	silent, back         []bool    // does not answer; on a trickle that doubles
 	out, lost            []int     // call-outs out, and those lost in a row
-	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and that as share of soft deadlines
+	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
 }
 
 // thawing is the budget of members that have just started.
@@ -127,7 +126,6 @@
 	allowed Allowed
 	index   map[MemberID]member
 	groups  map[GroupID]*group
-	order   []*group
 	calls   map[RPCID]*call
 	tokens  map[string]int64 // last commit of a session, as answers told
 }
@@ -161,28 +159,25 @@
 // List takes the list or, when whole is false, what changed in it.
 func (d *Driver) List(lines []Listing, whole bool) {
 	d.askTries = 0
-	seen := make([]bool, len(d.ids), len(d.ids)+len(lines))
+	for m := range d.state {
+		if whole { // whom the list leaves out is gone
+			d.state[m] = Gone
+		}
+	}
 	for _, l := range lines {
 		m, known := d.index[l.Member]
 		if !known {
 			m = d.add(l)
-			seen = append(seen, true)
 		}
-		seen[m] = true
 		d.state[m] = l.State
 		d.started[m] = max(d.started[m], l.Started)
 		if g := d.of[m]; l.Primary && g.primary == nobody && d.role[m] == RoleUnknown {
 			g.primary = m
 		}
 	}
-	for m := range seen {
-		if whole && !seen[m] {
-			d.state[m] = Gone
-		}
-	}
 	d.watch()
-	for _, g := range d.order {
-		d.wake(g)
+	for _, l := range lines {
+		d.wake(d.groups[l.Group])
 	}
 }
 
@@ -206,13 +201,12 @@
 	if g == nil {
 		g = &group{id: l.Group, primary: nobody, took: float64(firstTook)}
 		d.groups[l.Group] = g
-		d.order = append(d.order, g)
 	}
 	g.members = append(g.members, m)
 	d.index[l.Member] = m
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
-	grow(&d.pos, &d.learned, &d.demoted, &d.primed, &d.heard, &d.asking, &d.aside, &d.at)
+	grow(&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.at)
 	grow(&d.silent, &d.back, &d.untold)
 	grow(&d.out, &d.lost)
 	grow(&d.role)
@@ -226,8 +220,8 @@
 
 // ---- Probes, positions and roles ----
 
-// probeLoop probes a member every interval, for as long as the list has it. An answer, or a fellow driver's news,
-// that brought a position since stands in for the probe.
+// probeLoop probes a member every interval, for as long as the list has it. An answer, or a fellow driver's
+// news, that brought a position since stands in for the probe.
 func (d *Driver) probeLoop(m member) {
 	now := d.host.Now()
 	if d.asking[m] == 0 && (d.silent[m] || d.learned[m] == 0 || now-d.learned[m] >= d.interval) {
@@ -238,21 +232,21 @@
 	wait := d.interval
 	if d.state[m] == Gone {
 		wait = 4 * sec
+	} else if age := now - d.learned[m]; age < d.interval && d.asking[m] == 0 {
+		wait -= age
 	}
-	d.host.After(wait-wait/8+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
+	d.host.After(wait+d.rng.Int63n(d.interval/8), func() { d.probeLoop(m) })
 }
 
 func (d *Driver) probed(m member, r ProbeResult) {
 	d.asking[m] = 0
 	d.of[m].heard = true
-	if r.Cause != NoCause && r.Cause != Full { // a member too busy for probes is alive
+	if r.Cause == NoCause || r.Cause == Full { // a member too busy for probes is alive
+		d.alive(m)
+		d.sighted(m, r.Sighting, false)
+	} else {
 		d.hushed(m)
-		d.wake(d.of[m])
-		return
 	}
-	d.alive(m)
-	d.sighted(m, r.Sighting, false)
-	d.untold[m] = d.untold[m] || d.learned[m] == d.host.Now()
 	d.wake(d.of[m])
 }
 
@@ -276,6 +270,7 @@
 	for _, n := range news {
 		if m, known := d.index[n.Member]; known && n.Position > d.pos[m] {
 			d.sighted(m, n.Sighting, false)
+			d.untold[m] = false
 			d.wake(d.of[m])
 		}
 	}
@@ -289,8 +284,8 @@
 }
 
 // hushed marks a member that does not answer. Guards against crashed, cut off and hung members, whatever the
-// cause: nothing is sent until it answers again, so a non-idempotent RPC is not lost on it. May harm where only
-// probes get lost.
+// cause: nothing is sent until it answers again, so a non-idempotent RPC is not lost on it. May harm where
+// only probes get lost.
 func (d *Driver) hushed(m member) {
 	if !d.silent[m] {
 		d.silent[m] = true
@@ -312,15 +307,15 @@
 	d.heard[m] = now
 }
 
-// sighted takes in the role and position that an answer showed. A position never goes back, so evidence with an
-// older position than the one known is older itself, and its role is ignored.
+// sighted takes in the role and position that an answer showed. A position never goes back, so evidence with
+// an older position than the one known is older itself, and its role is ignored.
 func (d *Driver) sighted(m member, s Sighting, answer bool) {
 	now := d.host.Now()
 	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
 		return
 	}
 	if s.Position != 0 {
-		d.pos[m], d.learned[m] = s.Position, now
+		d.pos[m], d.learned[m], d.untold[m] = s.Position, now, true
 	}
 	g := d.of[m]
 	if s.Role == RoleReplica {
@@ -338,8 +333,8 @@
 	if d.demoted[m] != 0 && dated <= d.demoted[m]+handover {
 		return // from before the answer that demoted it, or from a member about to hand over
 	}
-	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.primed[m]) {
-		d.primed[m] = lead
+	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.least[m]) {
+		d.least[m] = lead
 	}
 	d.role[m] = RolePrimary
 	if g.primary != m && dated >= g.since {
@@ -354,8 +349,8 @@
 func (d *Driver) staleness(m member) int64 {
 	g := d.of[m]
 	unheard := max(d.interval, d.host.Now()-d.learned[m])
-	if p := g.primary; p != nobody && d.primed[p] != 0 {
-		return d.learned[m] - d.pos[m] - d.primed[p] + unheard
+	if p := g.primary; p != nobody && d.least[p] != 0 {
+		return d.learned[m] - d.pos[m] - d.least[p] + unheard
 	}
 	newest := slices.MaxFunc(g.members, func(a, b member) int { return cmp.Compare(d.pos[a], d.pos[b]) })
 	return d.pos[newest] - d.pos[m] + unheard
@@ -438,12 +433,12 @@
 }
 
 func (d *Driver) hasRoom(m member, share float64) bool {
-	return float64(d.out[m]) < max(1, d.room[m]*share) && d.thawed(m)
+	return float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.thawed(m)
 }
 
-// thawed keeps a cold member's budget: this driver sends it no more than its share of what a warm member of the
-// group gets, scaled by what it can do by now at the least. Holds without the drivers agreeing, since each keeps
-// to a part of its own usual traffic.
+// thawed keeps a cold member's budget: this driver sends it no more than its share of what a warm member of
+// the group gets, scaled by what it can do by now at the least. Holds without the drivers agreeing, since
+// each keeps to a part of its own usual traffic.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
 	age := now - d.started[m]
@@ -476,7 +471,7 @@
 	now := d.host.Now()
 	method := &d.methods[rpc.Method]
 	g := d.groups[rpc.Group]
-	if g == nil {
+	if g == nil { // the list names no member of it
 		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
 		return
 	}
@@ -496,12 +491,15 @@
 	}
 }
 
+// step makes the next call-out of an RPC, or holds it.
 func (d *Driver) step(c *call) {
 	if m := d.pick(c); m != nobody {
 		d.callOut(c, m)
 		return
 	}
-	d.hold(c)
+	c.held = true
+	c.group.held = append(c.group.held, c)
+	d.recheck(c)
 }
 
 // giveUp is the time from which an RPC still held can no longer be answered to any use.
@@ -513,12 +511,6 @@
 	return min(c.soft, c.deadline) - need
 }
 
-func (d *Driver) hold(c *call) {
-	c.held = true
-	c.group.held = append(c.group.held, c)
-	d.recheck(c)
-}
-
 // recheck looks at a held RPC now and then, until it goes out or no answer could be of use.
 func (d *Driver) recheck(c *call) {
 	if c.ended || !c.held {
@@ -592,13 +584,13 @@
 	g.rate += weight * (min(1/gap, 1000) - g.rate)
 }
 
-// patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member that
-// keeps it waiting too long while there is time for another; else it waits to the deadline.
+// patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member
+// that keeps it waiting too long while there is time for another; else it waits to the deadline.
 func (d *Driver) patience(c *call, m member) int64 {
 	left := c.deadline - d.host.Now()
 	wait := d.tooLong(c, m)
-	if d.allowed.Copies || c.method.Effect != Idempotent || !c.isRead() || d.spare.left < 1 ||
-		wait+int64(2*c.group.took) > left {
+	another := c.method.Effect == Idempotent && c.isRead() && wait+int64(2*c.group.took) <= left
+	if d.allowed.Copies || !another || d.spare.left < 1 {
 		return left
 	}
 	return wait
@@ -630,8 +622,8 @@
 	d.out[m]--
 	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
 	d.judge(c, m, r)
-	if c.tries > 1 && (r.Proof == OK || r.Proof == MayHaveRun) {
-		d.spare.learn(r.Proof == OK)
+	if c.tries > 1 && r.Proof != NeverRan {
+		d.spare.learn(map[Proof]float64{OK: 1}[r.Proof])
 	}
 	if !c.ended {
 		d.next(c, m, sent, r)
@@ -641,12 +633,7 @@
 
 func (s *spares) earn() { s.left = min(10, s.left+0.02+0.15*s.success) }
 
-func (s *spares) learn(ok bool) {
-	s.success *= 0.9
-	if ok {
-		s.success += 0.1
-	}
-}
+func (s *spares) learn(ok float64) { s.success += 0.1 * (ok - s.success) }
 
 func (d *Driver) next(c *call, m member, sent int64, r Result) {
 	if r.Final || r.Proof == OK {
@@ -710,7 +697,6 @@
 	case NoCause, Errored, Missed, Full:
 		d.alive(m)
 		d.sighted(m, r.Sighting, true)
-		d.untold[m] = d.untold[m] || d.learned[m] == now
 	case TimedOut, Reset, NoConnect:
 		d.strike(m, now)
 	}
@@ -726,8 +712,9 @@
 	}
 }
 
-// teach learns how long a member takes. It grows its room while its answers come well in time, doubling on a trickle, and cuts it while they
-// strain the soft deadline: what it cannot answer in time is better held or pushed back than worked on in vain.
+// teach learns how long a member takes. Its room grows while answers come well in time, doubling on a
+// trickle, and shrinks while they strain the soft deadline: such work is better held or pushed back than
+// done in vain.
 func (d *Driver) teach(c *call, m member, took int64) {
 	d.took[m] += 0.15 * (float64(took) - d.took[m])
 	c.group.took += 0.03 * (float64(took) - c.group.took)
@@ -743,7 +730,7 @@
 			d.logf("back member=%d room=%.0f", d.ids[m], d.room[m])
 		}
 	case float64(d.out[m])+2 >= d.room[m]:
-		d.room[m] = min(mostRoom, d.room[m]+0.5/d.room[m])
+		d.room[m] += 0.5 / d.room[m]
 	}
 }
 
@@ -758,6 +745,4 @@
 	}
 }
 
-func (d *Driver) logf(format string, args ...any) {
-	d.host.Log(fmt.Sprintf(format, args...))
-}
+func (d *Driver) logf(format string, args ...any) { d.host.Log(fmt.Sprintf(format, args...)) }
--- /dev/null
+++ b/rules/scenario_test.go
@@ -0,0 +1,344 @@
+package rules_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/rules"
+)
+
+// TestScenarios plays testdata/*.txt on the module alone; testdata/README.md tells the notation.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			p := &player{t: t, now: int64(time.Hour), acts: map[int]string{}, rpcs: map[rules.RPCID]*seen{},
+				sent: map[int]int{}, crew: rules.Crew{Drivers: 1}, allowed: rules.Allowed{CallOuts: 6, Cancel: true, Probes: true}}
+			for i, line := range strings.Split(string(text), "\n") {
+				p.at = fmt.Sprintf("%s:%d: %s", file, i+1, line)
+				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
+					p.play(words)
+				}
+			}
+		})
+	}
+}
+
+// seen is what became of one RPC.
+type seen struct {
+	to     []int
+	next   []func(rules.Result)
+	sentAt []int64
+	within int64
+	answer string
+}
+
+type timer struct {
+	at int64
+	do func()
+}
+
+// player is the host of one driver and plays the lines of one scenario.
+type player struct {
+	t       *testing.T
+	at      string
+	now     int64
+	d       *rules.Driver
+	timers  []timer
+	acts    map[int]string // what a member does with probes
+	rpcs    map[rules.RPCID]*seen
+	sent    map[int]int
+	probes  int
+	watches int
+	told    []rules.News
+	methods []rules.Method
+	crew    rules.Crew
+	store   rules.Store
+	allowed rules.Allowed
+	thaw    rules.Thaw
+	notice  rules.Notice
+}
+
+func (p *player) Now() int64 { return p.now }
+
+func (p *player) After(wait int64, do func()) {
+	p.timers = append(p.timers, timer{p.now + max(wait, 0), do})
+}
+
+func (p *player) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
+	r := p.rpcs[id]
+	require.Empty(p.t, r.answer, "%s: call-out after the answer", p.at)
+	r.to, r.next, r.within = append(r.to, int(to)), append(r.next, next), within
+	r.sentAt = append(r.sentAt, p.now)
+	p.sent[int(to)]++
+	return len(r.to) - 1
+}
+
+func (p *player) Cancel(rules.RPCID, int) {}
+func (p *player) Watch()                  { p.watches++ }
+func (p *player) Log(string)              {}
+func (p *player) Tell(news []rules.News)  { p.told = append(p.told, news...) }
+
+func (p *player) PushBack(id rules.RPCID, _ int64) { p.final(id, "pushed-back") }
+func (p *player) Abort(id rules.RPCID)             { p.final(id, "aborted") }
+
+func (p *player) final(id rules.RPCID, answer string) {
+	require.Empty(p.t, p.rpcs[id].answer, "%s: a second final answer", p.at)
+	p.rpcs[id].answer = answer
+}
+
+func (p *player) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
+	p.probes++
+	words := strings.Fields(p.acts[int(to)])
+	r := rules.ProbeResult{Took: int64(time.Millisecond)}
+	switch words[0] {
+	case "silent":
+		r.Took, r.Cause = int64(250*time.Millisecond), rules.TimedOut
+	case "busy":
+		r.Cause = rules.Full
+	case "down":
+		r.Cause = rules.NoConnect
+	default:
+		r.Sighting = p.sighting(words)
+	}
+	p.After(r.Took, func() { next(r) })
+}
+
+// sighting reads a role and how old the position is.
+func (p *player) sighting(words []string) rules.Sighting {
+	s := rules.Sighting{Role: map[string]rules.Role{"primary": rules.RolePrimary, "replica": rules.RoleReplica}[words[0]]}
+	require.NotZero(p.t, s.Role, p.at)
+	if len(words) > 1 {
+		s.Position = p.now - p.span(words[1])
+	}
+	return s
+}
+
+func (p *player) span(text string) int64 {
+	span, err := time.ParseDuration(text)
+	require.NoError(p.t, err, p.at)
+	return int64(span)
+}
+
+func (p *player) number(text string) int {
+	n, err := strconv.Atoi(text)
+	require.NoError(p.t, err, p.at)
+	return n
+}
+
+// wait lets time pass, running what falls due.
+func (p *player) wait(span int64) {
+	for end := p.now + span; ; {
+		due := -1
+		for i, t := range p.timers {
+			if t.at <= end && (due < 0 || t.at < p.timers[due].at) {
+				due = i
+			}
+		}
+		if due < 0 {
+			p.now = end
+			return
+		}
+		t := p.timers[due]
+		p.timers = slices.Delete(p.timers, due, due+1)
+		p.now = max(p.now, t.at)
+		t.do()
+	}
+}
+
+func (p *player) play(w []string) {
+	switch w[0] {
+	case "method":
+		p.method(w[1:])
+	case "allow":
+		p.allow(w[1:])
+	case "list":
+		p.list(w[1:])
+	case "member":
+		p.acts[p.number(w[1])] = strings.Join(w[2:], " ")
+	case "wait":
+		p.wait(p.span(w[1]))
+	case "rpc":
+		p.rpc(w[1:])
+	case "result":
+		p.result(w[1:])
+	case "told":
+		p.d.Told([]rules.News{{Member: rules.MemberID(p.number(w[1])), Sighting: p.sighting(w[2:])}})
+	case "unlisted":
+		p.d.ListFailed()
+	default:
+		p.expect(w)
+	}
+}
+
+func (p *player) method(w []string) {
+	m := rules.Method{Name: w[0], SoftDeadline: int64(500 * time.Millisecond), Utility: 1}
+	for _, word := range w[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "any":
+		case "bounded":
+			m.Need, m.Bound = rules.NeedBounded, p.span(value)
+		case "session":
+			m.Need = rules.NeedSession
+		case "fresh":
+			m.Need = rules.NeedFresh
+		case "write":
+			m.Need = rules.NeedPrimary
+		case "once":
+			m.Effect = rules.NonIdempotent
+		case "tokened":
+			m.Effect, m.Window = rules.Tokened, p.span(value)
+		case "late":
+			m.LateUtility = 0.5
+		case "utility":
+			m.Utility = float64(p.number(value))
+		default:
+			require.Fail(p.t, p.at)
+		}
+	}
+	p.methods = append(p.methods, m)
+}
+
+func (p *player) allow(w []string) {
+	for _, word := range w {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "copies":
+			p.allowed.Copies = true
+		case "guarded":
+			p.store.Guarded = true
+		case "asked":
+			p.notice.Asked = true
+		case "drain-only":
+			p.notice.DrainOnly = true
+		case "news":
+			p.crew = rules.Crew{Drivers: 2, News: p.number(value)}
+		case "cold":
+			p.thaw = rules.Thaw{Share: 0.2, WarmAfter: p.span(value), Multiple: 2, Window: int64(time.Second)}
+		default:
+			require.Fail(p.t, p.at)
+		}
+	}
+}
+
+func (p *player) list(w []string) {
+	var lines []rules.Listing
+	for _, word := range w[1:] {
+		parts := strings.Split(word, ":")
+		l := rules.Listing{Member: rules.MemberID(p.number(parts[0])), Group: 1}
+		for _, part := range parts[1:] {
+			switch part {
+			case "draining":
+				l.State = rules.Draining
+			case "gone":
+				l.State = rules.Gone
+			case "primary":
+				l.Primary = true
+			case "cold":
+				l.Started = p.now
+			default:
+				require.Fail(p.t, p.at)
+			}
+		}
+		lines = append(lines, l)
+	}
+	if p.d == nil {
+		p.d = rules.New(p, 1, p.methods, p.crew, p.store, p.allowed, p.thaw, p.notice)
+	}
+	p.d.List(lines, w[0] == "whole")
+}
+
+// rpc takes one RPC, or a run of them: "rpc 1-20 read".
+func (p *player) rpc(w []string) {
+	first, last, run := strings.Cut(w[0], "-")
+	if !run {
+		last = first
+	}
+	r := rules.RPC{Group: 1, Left: int64(2 * time.Second)}
+	r.Method = rules.MethodID(slices.IndexFunc(p.methods, func(m rules.Method) bool { return m.Name == w[1] }))
+	for _, word := range w[2:] {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "left":
+			r.Left = p.span(value)
+		case "session":
+			r.Session = value
+		default:
+			require.Fail(p.t, p.at)
+		}
+	}
+	for id := p.number(first); id <= p.number(last); id++ {
+		r.ID = rules.RPCID(id)
+		p.rpcs[r.ID] = &seen{}
+		p.d.Take(r)
+	}
+}
+
+// result ends the last call-out of an RPC that is still out.
+func (p *player) result(w []string) {
+	rpc := p.rpcs[rules.RPCID(p.number(w[0]))]
+	n := len(rpc.next) - 1
+	for n >= 0 && rpc.next[n] == nil {
+		n--
+	}
+	require.GreaterOrEqual(p.t, n, 0, "%s: nothing is out", p.at)
+	ends := map[string]rules.Result{
+		"ok":      {Proof: rules.OK, Final: true},
+		"miss":    {Proof: rules.NeverRan, Cause: rules.Missed},
+		"full":    {Proof: rules.NeverRan, Cause: rules.Full},
+		"timeout": {Proof: rules.MayHaveRun, Cause: rules.TimedOut},
+		"reset":   {Proof: rules.MayHaveRun, Cause: rules.Reset},
+		"begun":   {Proof: rules.Started},
+	}
+	r, known := ends[w[1]]
+	require.True(p.t, known, p.at)
+	r.Took = p.now - rpc.sentAt[n]
+	if len(w) > 2 {
+		r.Sighting = p.sighting(w[2:])
+	}
+	next := rpc.next[n]
+	if r.Proof != rules.Started {
+		rpc.next[n] = nil
+	}
+	if r.Proof == rules.OK && rpc.answer == "" {
+		rpc.answer = "ok"
+	}
+	next(r)
+}
+
+func (p *player) expect(w []string) {
+	switch w[0] {
+	case "out": // the RPC's call-outs so far went to these members; | parts those allowed
+		rpc := p.rpcs[rules.RPCID(p.number(w[1]))]
+		require.Len(p.t, rpc.to, len(w)-2, p.at)
+		for i, allowed := range w[2:] {
+			require.Contains(p.t, strings.Split(allowed, "|"), strconv.Itoa(rpc.to[i]), p.at)
+		}
+	case "answer":
+		got := p.rpcs[rules.RPCID(p.number(w[1]))].answer
+		require.Equal(p.t, strings.TrimPrefix(w[2], "none"), got, p.at)
+	case "sent": // so many call-outs went to a member so far: "sent 3 0..2"
+		low, high, _ := strings.Cut(w[2], "..")
+		require.GreaterOrEqual(p.t, p.sent[p.number(w[1])], p.number(low), p.at)
+		require.LessOrEqual(p.t, p.sent[p.number(w[1])], p.number(high), p.at)
+	case "watches":
+		require.Equal(p.t, p.number(w[1]), p.watches, p.at)
+	case "tells":
+		require.True(p.t, slices.ContainsFunc(p.told, func(n rules.News) bool { return int(n.Member) == p.number(w[1]) }), p.at)
+	default:
+		require.Fail(p.t, p.at)
+	}
+}
