Count a repeat's soft deadline from its first try; lower strain

The client's time left tells when its first try was. Guards against any storm of repeats; could harm where a repeat's time left is cut for other reasons: then it counts as later than it is.

--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -174,6 +174,7 @@
 		m.Scope = choice(f, at+"keyScope", f.at[at+"keyScope"], scopes)
 		m.Window = f.time(at + "windowUs")
 		m.SoftDeadline = f.integer(at+"aimUs") * micro
+		m.Deadline = f.time(at + "giveUpUs")
 		m.Utility = f.numberOr(at+"worth", 1)
 		m.LateUtility = f.numberOr(at+"lateWorth", 0)
 		if i < len(read) {
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -12,6 +12,8 @@
 	"sedgespread/rules"
 )
 
+const repeatFlag = 2 // of a request's flags
+
 // wire is one process's end of the conversation.
 type wire struct {
 	in      *bufio.Reader
@@ -215,7 +217,7 @@
 func (d *driver) request(f *fields) {
 	method := choice(f, "tierClass", f.text("tierClass"), d.methods)
 	rpc := rules.RPC{ID: rules.RPCID(f.id("xid")), Method: method, Group: rules.GroupID(f.integerOr("cluster", 0)),
-		Session: f.at["key"], Left: f.integer("graceUs") * micro}
+		Session: f.at["key"], Left: f.integer("graceUs") * micro, Repeat: f.integerOr("flags", 0)&repeatFlag != 0}
 	if ago := f.numberOr("lastWriteMs", 0); ago > 0 {
 		rpc.Token = d.w.now - int64(ago*1e6)
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -46,6 +46,7 @@
 	Scope        Scope
 	Window       int64 // how long a tokened RPC's repeats are dropped
 	SoftDeadline int64
+	Deadline     int64 // all that a client waits, over all its tries
 	Utility      float64
 	LateUtility  float64 // share of Utility after the soft deadline
 }
@@ -101,6 +102,7 @@
 	Group   GroupID
 	Session string
 	Left    int64
+	Repeat  bool  // the client has tried before
 	Token   int64 // commit that a session read must see, 0 for none
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,7 +30,7 @@
 	firstRoom     = 3.0      // call-outs of ours that a member may hold, before its answers teach better
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
-	strained      = 0.4      // smoothed share of the soft deadline that answers may take
+	strained      = 0.33     // smoothed share of the soft deadline that answers may take
 	strikesOut    = 3        // call-outs lost in a row that set a member aside
 )
 
@@ -479,7 +479,14 @@
 	if method.Need == NeedSession && !d.store.Carried {
 		c.Token = d.tokens[rpc.Session]
 	}
+	if rpc.Repeat { // its client counts from its first try, and has Left of the whole time now
+		c.soft -= max(0, method.Deadline-rpc.Left)
+	}
 	d.calls[rpc.ID] = c
+	if method.LateUtility == 0 && c.soft < now+int64(g.took/2) {
+		d.finish(c) // no answer could still be of use: guards the members against storms of repeats
+		return
+	}
 	d.spare.earn()
 	d.step(c)
 }
