Held RPCs of equal utility go out newest first

Guards against overload of any cause; an RPC that has waited long is likelier to be pushed back, which it would have been anyway.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -543,7 +543,9 @@
 	queue := g.held
 	g.held = nil
 	now := d.host.Now()
-	slices.SortStableFunc(queue, func(a, b *call) int { return cmp.Compare(b.worth(now), a.worth(now)) })
+	slices.SortStableFunc(queue, func(a, b *call) int {
+		return cmp.Or(cmp.Compare(b.worth(now), a.worth(now)), cmp.Compare(b.soft, a.soft))
+	})
 	stuck := make([]bool, len(d.methods))
 	for _, c := range queue {
 		if c.ended || !c.held {
