--- a/rules/rules.go
+++ b/rules/rules.go
@@ -60,7 +60,7 @@
 // sightings are the positions and roles seen. Times are 0 for never, here and below.
 type sightings struct {
 	store                        Store
-	interval                     int64   // between probes of one member
+	interval, due                int64   // between looks at one member, and between own probes of it
 	pos, learned, demoted, least []int64 // least: of its age as primary
 	role                         []Role
 	untold                       []bool // the fellow drivers have not been told
@@ -137,7 +137,9 @@
 		roster: roster{notice: notice}, sightings: sightings{store: store, interval: probeInterval(methods)},
 		thawing: thawing{Thaw: thaw}, spare: spares{left: 5, success: 0.5}, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
+	d.due = d.interval
 	if crew.News > 0 && crew.Drivers > 1 {
+		d.due *= min(3, max(1, int64(crew.Drivers)/2)) // the fellow drivers' probes serve as well
 		d.tellLoop(crew.News)
 	}
 	return d
@@ -224,18 +226,18 @@
 // news, that brought a position since stands in for the probe.
 func (d *Driver) probeLoop(m member) {
 	now := d.host.Now()
-	if d.asking[m] == 0 && (d.silent[m] || d.learned[m] == 0 || now-d.learned[m] >= d.interval) {
+	if d.asking[m] == 0 && (d.silent[m] || d.learned[m] == 0 || now-d.learned[m] >= d.due) {
 		d.asking[m] = now
 		d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
 		d.host.After(hush, func() { d.checkSilence(m) })
 	}
-	wait := d.interval
+	wait := d.due
 	if d.state[m] == Gone {
 		wait = 4 * sec
-	} else if age := now - d.learned[m]; age < d.interval && d.asking[m] == 0 {
+	} else if age := now - d.learned[m]; age < d.due && d.asking[m] == 0 {
 		wait -= age
 	}
-	d.host.After(wait+d.rng.Int63n(d.interval/8), func() { d.probeLoop(m) })
+	d.host.After(wait+d.rng.Int63n(d.due/4), func() { d.probeLoop(m) })
 }
 
 func (d *Driver) probed(m member, r ProbeResult) {
