After a miss, judge a member by its known position too

Guards against any member that lags behind what its reports say; could harm where clocks differ by near the bound. Known positions now need a millisecond to spare, for commits are rounded up.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -63,7 +63,7 @@
 	interval, due                int64   // between looks at one member, and between own probes of it
 	pos, learned, demoted, least []int64 // least: of its age as primary
 	role                         []Role
-	untold                       []bool // the fellow drivers have not been told
+	untold, missed               []bool // the fellow drivers have not been told; its last answer turned a read away
 }
 
 // health is how members answer this driver.
@@ -209,7 +209,7 @@
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
 	grow(&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.at)
-	grow(&d.silent, &d.back, &d.untold)
+	grow(&d.silent, &d.back, &d.untold, &d.missed)
 	grow(&d.out, &d.lost)
 	grow(&d.role)
 	d.room, d.took = append(d.room, firstRoom), append(d.took, g.took)
@@ -364,7 +364,9 @@
 	case NeedAny:
 		return true
 	case NeedBounded:
-		if d.pos[m] == 0 || !d.store.Guarded && d.pos[m] < d.host.Now()-c.method.Bound {
+		// Members that do not check themselves answer from what they hold, so their known position decides; so
+		// does that of one that has just turned a read away, whatever the estimate says.
+		if d.pos[m] == 0 || (!d.store.Guarded || d.missed[m]) && d.pos[m] < d.host.Now()-c.method.Bound+ms {
 			return false
 		}
 		return d.staleness(m) <= c.method.Bound
@@ -713,10 +715,12 @@
 	}
 	switch {
 	case r.Proof == OK:
-		d.lost[m] = 0
+		d.lost[m], d.missed[m] = 0, false
 		d.teach(c, m, r.Took)
 	case r.Cause == TimedOut && r.Took > int64(d.took[m]):
 		d.teach(c, m, r.Took)
+	case r.Cause == Missed && c.isRead():
+		d.missed[m] = true
 	case r.Cause == Full:
 		d.aside[m] = max(d.aside[m], now+fullRest)
 		d.room[m] = max(1, min(d.room[m], float64(d.out[m]+1))*0.8)
