--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,13 +48,12 @@
 
 // roster is what the list tells, and how it is kept up.
 type roster struct {
-	notice   Notice
-	asked    bool
-	askTries int
-	ids      []MemberID
-	of       []*group
-	zone     []string
-	state    []State
+	notice Notice
+	asked  bool
+	ids    []MemberID
+	of     []*group
+	zone   []string
+	state  []State
 }
 
 // sightings are the positions and roles seen. Times are 0 for never, here and below.
@@ -99,18 +98,15 @@
 // call is an RPC being worked on.
 type call struct {
 	RPC
-	method   *Method
-	group    *group
-	deadline int64
-	soft     int64
-	tries    int
-	out      []int // numbers of the call-outs still out
-	tried    []member
-	risk     int64 // when the first call-out that may have run was sent, 0 for none
-	riskZone string
-	held     bool
-	started  bool // its answer has begun to stream
-	ended    bool
+	method               *Method
+	group                *group
+	deadline, soft       int64
+	tries                int
+	out                  []int // numbers of the call-outs still out
+	tried                []member
+	risk                 int64 // when the first call-out that may have run was sent, 0 for none
+	riskZone             string
+	held, started, ended bool // started: its answer has begun to stream
 }
 
 // Driver decides for one instance.
@@ -160,7 +156,6 @@
 
 // List takes the list or, when whole is false, what changed in it.
 func (d *Driver) List(lines []Listing, whole bool) {
-	d.askTries = 0
 	for m := range d.state {
 		if whole { // whom the list leaves out is gone
 			d.state[m] = Gone
@@ -186,8 +181,7 @@
 // ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again.
 func (d *Driver) ListFailed() {
 	d.asked = false
-	d.askTries++
-	d.host.After(sec/2+d.rng.Int63n(sec*int64(min(d.askTries, 4))), d.watch)
+	d.host.After(sec/2+d.rng.Int63n(2*sec), d.watch)
 }
 
 func (d *Driver) watch() {
@@ -416,12 +410,7 @@
 // windowed picks at random among the passers whose expected answer time lies in the latency window.
 func (d *Driver) windowed(passers []member, best float64) member {
 	limit := best*(1+wideWindow) + float64(window)
-	in := passers[:0]
-	for _, m := range passers {
-		if d.cost(m) <= limit {
-			in = append(in, m)
-		}
-	}
+	in := slices.DeleteFunc(passers, func(m member) bool { return d.cost(m) > limit })
 	return in[d.rng.Intn(len(in))]
 }
 
@@ -590,11 +579,11 @@
 	}
 }
 
+// sent counts a call-out into the group's rate, smoothed over about a second.
 func (g *group) sent(now int64) {
 	gap := float64(max(now-g.last, ms)) / float64(sec)
 	g.last = now
-	weight := min(0.05, gap)
-	g.rate += weight * (min(1/gap, 1000) - g.rate)
+	g.rate += min(0.05, gap) * (1/gap - g.rate)
 }
 
 // patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member
@@ -644,8 +633,7 @@
 	d.wake(c.group)
 }
 
-func (s *spares) earn() { s.left = min(10, s.left+0.02+0.15*s.success) }
-
+func (s *spares) earn()            { s.left = min(10, s.left+0.02+0.15*s.success) }
 func (s *spares) learn(ok float64) { s.success += 0.1 * (ok - s.success) }
 
 func (d *Driver) next(c *call, m member, sent int64, r Result) {
