Tell lost call-outs from slow ones

Overdue call-outs on members of little strain hold no more room. Guards against links and members that lose a part of what they are sent, whatever the cause; could harm where a few RPCs take far longer than the rest, by crowding their member. Settings that the module does not use are read no more.

--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -188,7 +188,7 @@
 }
 
 func (f *fields) crew() rules.Crew {
-	c := rules.Crew{Drivers: int(f.integerOr("fleetSize", 1)), Zone: f.at["az"]}
+	c := rules.Crew{Drivers: int(f.integerOr("fleetSize", 1))}
 	if f.boolOr("limits.peerMessages", false) {
 		c.News = messageBytes / newsBytes
 	}
@@ -198,7 +198,6 @@
 func (f *fields) store() rules.Store {
 	return rules.Store{
 		Guarded: choice(f, "extra.guards", f.at["extra.guards"], guards),
-		Holds:   f.time("extra.holdsForUs"),
 		Carried: f.at["extra.tokens"] == "client",
 	}
 }
@@ -221,14 +220,12 @@
 		Share:     f.numberOr("safety.startCapacity", 1),
 		WarmAfter: f.time("safety.warmAfterUs"),
 		Multiple:  f.numberOr("safety.fallMultiple", 1),
-		Window:    f.time("safety.tipAfterUs"),
 	}
 }
 
 func (f *fields) notice() rules.Notice {
 	return rules.Notice{
 		Asked:     choice(f, "discovery", f.at["discovery"], asks),
-		AskEvery:  f.time("safety.askEveryUs"),
 		DrainOnly: f.boolOr("safety.softRemoval", false),
 	}
 }
@@ -260,7 +257,7 @@
 
 func (f *fields) probeResult(epoch int64) rules.ProbeResult {
 	end := choice(f, "outcome", f.text("outcome"), endings)
-	r := rules.ProbeResult{Cause: end.cause, Took: f.time("waitTimeUs")}
+	r := rules.ProbeResult{Cause: end.cause}
 	load := &fields{name: f.name + " report", at: map[string]string{}}
 	for _, pair := range f.list("report") {
 		name, value, ok := strings.Cut(pair, ":")
@@ -276,8 +273,6 @@
 			r.Role = rules.RolePrimary
 		}
 	}
-	_, r.Load = load.at["util"]
-	r.Util, r.Queue = load.numberOr("util", 0), load.numberOr("queue", 0)
 	if load.err != nil && f.err == nil {
 		f.err = load.err
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -54,7 +54,6 @@
 // Crew is this driver among its fellows.
 type Crew struct {
 	Drivers int
-	Zone    string
 	News    int // sightings that one message to them holds, 0 where they cannot be told anything
 }
 
@@ -66,9 +65,8 @@
 
 // Store says how the members replicate and what they check.
 type Store struct {
-	Guarded bool  // a member turns away a read for which it lags too far
-	Holds   int64 // how long it waits first
-	Carried bool  // session reads carry their token
+	Guarded bool // a member turns away a read for which it lags too far
+	Carried bool // session reads carry their token
 }
 
 // Allowed is what the deployment lets a driver do.
@@ -84,15 +82,13 @@
 type Thaw struct {
 	Share     float64 // of its capacity at its start, at least
 	WarmAfter int64
-	Multiple  float64 // sent more than this times what it can do ...
-	Window    int64   // ... for this long, it falls
+	Multiple  float64 // sent more than this times what it can do for a while, it falls
 }
 
 // Notice says how the list reaches a driver and what it binds.
 type Notice struct {
-	Asked     bool  // the list comes only when asked for
-	AskEvery  int64 // a driver that has not asked for so long is deemed told
-	DrainOnly bool  // gone alone does not bind, only draining
+	Asked     bool // the list comes only when asked for
+	DrainOnly bool // gone alone does not bind, only draining
 }
 
 // RPC is one client call. Left is the client's time for this try.
@@ -177,10 +173,6 @@
 // ProbeResult is what a probe found. Cause is NoCause when it was answered.
 type ProbeResult struct {
 	Cause Cause
-	Took  int64
-	Util  float64
-	Queue float64 // RPCs waiting
-	Load  bool    // Util and Queue are told
 	Sighting
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,7 @@
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
+	quick         = 0.2      // strain below which what is overdue was lost, not slow
 	strikesOut    = 3        // call-outs lost in a row that set a member aside
 )
 
@@ -38,14 +39,6 @@
 
 const nobody member = -1
 
-// grow makes room for one more member in arrays of one type.
-func grow[T any](lists ...*[]T) {
-	for _, l := range lists {
-		var zero T
-		*l = append(*l, zero)
-	}
-}
-
 // roster is what the list tells, and how it is kept up.
 type roster struct {
 	notice Notice
@@ -62,7 +55,7 @@
 	interval, due                int64   // between looks at one member, and between own probes of it
 	pos, learned, demoted, least []int64 // least: of its age as primary
 	role                         []Role
-	untold, missed               []bool // the fellow drivers have not been told; its last answer turned a read away
+	untold, missed               []bool // not told to the fellow drivers; turned its last read away
 }
 
 // health is how members answer this driver.
@@ -76,8 +69,8 @@
 // thawing is the budget of members that have just started.
 type thawing struct {
 	Thaw
-	started, at []int64
-	left        []float64 // call-outs it may get now
+	started, fed []int64
+	left         []float64 // call-outs it may get now
 }
 
 // spares is the budget of further call-outs: it follows the share of recent ones that were ok.
@@ -130,9 +123,14 @@
 func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw,
 	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
-		roster: roster{notice: notice}, sightings: sightings{store: store, interval: probeInterval(methods)},
+		roster: roster{notice: notice}, sightings: sightings{store: store, interval: longestProbe},
 		thawing: thawing{Thaw: thaw}, spare: spares{left: 5, success: 0.5}, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
+	for _, m := range methods { // half of the smallest bound
+		if m.Need == NeedBounded {
+			d.interval = min(d.interval, max(shortestProbe, m.Bound/2))
+		}
+	}
 	d.due = d.interval
 	if crew.News > 0 && crew.Drivers > 1 {
 		d.due *= min(3, max(1, int64(crew.Drivers)/2)) // the fellow drivers' probes serve as well
@@ -141,19 +139,6 @@
 	return d
 }
 
-// probeInterval is half of the smallest bound, within limits.
-func probeInterval(methods []Method) int64 {
-	every := longestProbe
-	for _, m := range methods {
-		if m.Need == NeedBounded {
-			every = min(every, m.Bound/2)
-		}
-	}
-	return max(every, shortestProbe)
-}
-
-// ---- The list ----
-
 // List takes the list or, when whole is false, what changed in it.
 func (d *Driver) List(lines []Listing, whole bool) {
 	for m := range d.state {
@@ -202,10 +187,14 @@
 	d.index[l.Member] = m
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
-	grow(&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.at)
-	grow(&d.silent, &d.back, &d.untold, &d.missed)
-	grow(&d.out, &d.lost)
-	grow(&d.role)
+	for _, a := range []*[]int64{&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking,
+		&d.aside, &d.fed} {
+		*a = append(*a, 0)
+	}
+	for _, a := range []*[]bool{&d.silent, &d.back, &d.untold, &d.missed} {
+		*a = append(*a, false)
+	}
+	d.out, d.lost, d.role = append(d.out, 0), append(d.lost, 0), append(d.role, RoleUnknown)
 	d.room, d.took = append(d.room, firstRoom), append(d.took, g.took)
 	d.strain, d.thawing.left = append(d.strain, 0), append(d.thawing.left, 1)
 	if d.allowed.Probes {
@@ -214,8 +203,6 @@
 	return m
 }
 
-// ---- Probes, positions and roles ----
-
 // probeLoop probes a member every interval, for as long as the list has it. An answer, or a fellow driver's
 // news, that brought a position since stands in for the probe.
 func (d *Driver) probeLoop(m member) {
@@ -223,7 +210,11 @@
 	if d.asking[m] == 0 && (d.silent[m] || d.learned[m] == 0 || now-d.learned[m] >= d.due) {
 		d.asking[m] = now
 		d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
-		d.host.After(hush, func() { d.checkSilence(m) })
+		d.host.After(hush, func() {
+			if d.asking[m] == now && d.heard[m] <= now {
+				d.hushed(m)
+			}
+		})
 	}
 	wait := d.due
 	if d.state[m] == Gone {
@@ -272,16 +263,8 @@
 	}
 }
 
-func (d *Driver) checkSilence(m member) {
-	now := d.host.Now()
-	if d.asking[m] != 0 && now-d.asking[m] >= hush && now-d.heard[m] >= hush {
-		d.hushed(m)
-	}
-}
-
-// hushed marks a member that does not answer. Guards against crashed, cut off and hung members, whatever the
-// cause: nothing is sent until it answers again, so a non-idempotent RPC is not lost on it. May harm where
-// only probes get lost.
+// hushed marks a member that does not answer. Guards against crashed, cut off and hung members: nothing is
+// lost on it before it answers again. Could harm where only probes get lost.
 func (d *Driver) hushed(m member) {
 	if !d.silent[m] {
 		d.silent[m] = true
@@ -303,8 +286,8 @@
 	d.heard[m] = now
 }
 
-// sighted takes in the role and position that an answer showed. A position never goes back, so evidence with
-// an older position than the one known is older itself, and its role is ignored.
+// sighted takes in a role and a position. A position never goes back, so evidence with one older than the
+// known is older itself, and its role is ignored.
 func (d *Driver) sighted(m member, s Sighting, answer bool) {
 	now := d.host.Now()
 	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
@@ -340,8 +323,8 @@
 	g.since = max(g.since, dated)
 }
 
-// staleness is the source's estimate. The primary's term is the least of its term of office, so that a slow
-// answer of the primary does not make replicas look fresher; a replica overdue for its probe grows staler.
+// staleness is the source's estimate, but for the primary's term, the least of its office, lest its slow
+// answer make replicas look fresher, and for an overdue replica, which grows staler.
 func (d *Driver) staleness(m member) int64 {
 	g := d.of[m]
 	unheard := max(d.interval, d.host.Now()-d.learned[m])
@@ -358,8 +341,7 @@
 	case NeedAny:
 		return true
 	case NeedBounded:
-		// Members that do not check themselves answer from what they hold, so their known position decides; so
-		// does that of one that has just turned a read away, whatever the estimate says.
+		// The known position decides where members do not check themselves, or one just turned a read away.
 		if d.pos[m] == 0 || (!d.store.Guarded || d.missed[m]) && d.pos[m] < d.host.Now()-c.method.Bound+ms {
 			return false
 		}
@@ -370,8 +352,6 @@
 	return false
 }
 
-// ---- Picking a member ----
-
 // pick names the member for the next call-out of an RPC, or nobody if it has to wait.
 func (d *Driver) pick(c *call) member {
 	g, p := c.group, c.group.primary
@@ -398,10 +378,10 @@
 	if len(passers) > 0 && !(primary && d.cost(p)*jammed < best) {
 		return d.windowed(passers, best)
 	}
-	if primary {
-		return p
+	if !primary {
+		return nobody
 	}
-	return nobody
+	return p
 }
 
 // isRead tells whether a replica may answer.
@@ -429,9 +409,8 @@
 	return float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.thawed(m)
 }
 
-// thawed keeps a cold member's budget: this driver sends it no more than its share of what a warm member of
-// the group gets, scaled by what it can do by now at the least. Holds without the drivers agreeing, since
-// each keeps to a part of its own usual traffic.
+// thawed keeps a cold member's budget: half the stated multiple of what it can do at the least, as a share
+// of this driver's mean traffic a member. So it holds for all drivers together without their agreement.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
 	age := now - d.started[m]
@@ -441,8 +420,8 @@
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
 	rate := min(1, able*d.Multiple/2) * d.of[m].rate / float64(len(d.of[m].members))
 	left := &d.thawing.left[m]
-	*left = min(1+rate*0.2, *left+rate*float64(now-d.at[m])/float64(sec))
-	d.at[m] = now
+	*left = min(1+rate*0.2, *left+rate*float64(now-d.fed[m])/float64(sec))
+	d.fed[m] = now
 	return *left >= 1
 }
 
@@ -457,8 +436,6 @@
 	return c.method.Scope != ScopeZone || d.zone[m] == c.riskZone
 }
 
-// ---- The steps of an RPC ----
-
 // Take accepts an RPC; it gets exactly one final answer.
 func (d *Driver) Take(rpc RPC) {
 	now := d.host.Now()
@@ -480,7 +457,7 @@
 		d.finish(c) // no answer could still be of use: guards the members against storms of repeats
 		return
 	}
-	d.spare.earn()
+	d.spare.left = min(10, d.spare.left+0.02+0.15*d.spare.success)
 	d.step(c)
 }
 
@@ -504,11 +481,11 @@
 
 // giveUp is the time from which an RPC still held can no longer be answered to any use.
 func (d *Driver) giveUp(c *call) int64 {
-	need := int64(c.group.took)
-	if c.method.LateUtility > 0 {
-		return c.deadline - need
+	last := c.deadline
+	if c.method.LateUtility == 0 {
+		last = min(last, c.soft)
 	}
-	return min(c.soft, c.deadline) - need
+	return last - int64(c.group.took)
 }
 
 // recheck looks at a held RPC now and then, until it goes out or no answer could be of use.
@@ -530,9 +507,6 @@
 
 // wake looks again at the RPCs held for a group, those of most utility first.
 func (d *Driver) wake(g *group) {
-	if len(g.held) == 0 {
-		return
-	}
 	queue := g.held
 	g.held = nil
 	now := d.host.Now()
@@ -572,11 +546,20 @@
 	c.group.sent(now)
 	within := d.patience(c, m)
 	var number int
-	number = d.host.CallOut(c.ID, d.ids[m], within, func(r Result) { d.settle(c, m, now, number, r) })
+	counted := true
+	number = d.host.CallOut(c.ID, d.ids[m], within, func(r Result) {
+		if r.Proof != Started && counted {
+			d.out[m]--
+		}
+		d.settle(c, m, now, number, r)
+	})
 	c.out = append(c.out, number)
-	if d.allowed.Copies && c.method.Effect == Idempotent && c.isRead() && len(c.out) == 1 {
-		d.host.After(d.tooLong(c, m), func() { d.copyOut(c) })
-	}
+	d.host.After(d.tooLong(c, m), func() {
+		if counted = d.overdue(c, m, number); !counted {
+			d.out[m]--
+			d.wake(c.group)
+		}
+	})
 }
 
 // sent counts a call-out into the group's rate, smoothed over about a second.
@@ -589,29 +572,38 @@
 // patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member
 // that keeps it waiting too long while there is time for another; else it waits to the deadline.
 func (d *Driver) patience(c *call, m member) int64 {
-	left := c.deadline - d.host.Now()
-	wait := d.tooLong(c, m)
-	another := c.method.Effect == Idempotent && c.isRead() && wait+int64(2*c.group.took) <= left
-	if d.allowed.Copies || !another || d.spare.left < 1 {
-		return left
+	if wait := d.tooLong(c, m); !d.allowed.Copies && d.another(c, wait) {
+		return wait
 	}
-	return wait
+	return c.deadline - d.host.Now()
 }
 
 func (d *Driver) tooLong(c *call, m member) int64 {
 	return max(int64(4*d.took[m]), c.method.SoftDeadline*6/10)
 }
 
-// copyOut sends a second copy of an idempotent read that has been out for long, if recent ones did well.
-func (d *Driver) copyOut(c *call) {
-	late := d.host.Now()+int64(c.group.took) > c.deadline
-	if c.ended || c.started || len(c.out) != 1 || c.tries >= d.allowed.CallOuts || d.spare.left < 1 || late {
-		return
+// another tells whether a further call-out of an idempotent read may be made after a wait, and could be in
+// time.
+func (d *Driver) another(c *call, wait int64) bool {
+	may := c.method.Effect == Idempotent && c.isRead() && c.tries < d.allowed.CallOuts && d.spare.left >= 1
+	return may && d.host.Now()+wait+int64(c.group.took) <= c.deadline
+}
+
+// overdue deals with a call-out that has taken too long, and tells whether it still holds room of its
+// member. On a member that answers others quickly it is lost, not slow: guards against members and links
+// that lose a part of what they are sent. Could harm where a few RPCs take far longer than all others, by
+// crowding their member.
+func (d *Driver) overdue(c *call, m member, number int) (holds bool) {
+	if c.started || !slices.Contains(c.out, number) {
+		return true
 	}
-	if m := d.pick(c); m != nobody {
-		d.spare.left--
-		d.callOut(c, m)
+	if !c.ended && d.allowed.Copies && len(c.out) == 1 && d.another(c, 0) {
+		if to := d.pick(c); to != nobody { // a second copy
+			d.spare.left--
+			d.callOut(c, to)
+		}
 	}
+	return d.strain[m] > quick
 }
 
 // settle takes the result of a call-out and decides what follows.
@@ -621,11 +613,10 @@
 		d.cancelOut(c, number)
 		return
 	}
-	d.out[m]--
 	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
 	d.judge(c, m, r)
 	if c.tries > 1 && r.Proof != NeverRan {
-		d.spare.learn(map[Proof]float64{OK: 1}[r.Proof])
+		d.spare.success += 0.1 * (map[Proof]float64{OK: 1}[r.Proof] - d.spare.success)
 	}
 	if !c.ended {
 		d.next(c, m, sent, r)
@@ -633,9 +624,6 @@
 	d.wake(c.group)
 }
 
-func (s *spares) earn()            { s.left = min(10, s.left+0.02+0.15*s.success) }
-func (s *spares) learn(ok float64) { s.success += 0.1 * (ok - s.success) }
-
 func (d *Driver) next(c *call, m member, sent int64, r Result) {
 	if r.Final || r.Proof == OK {
 		if c.method.Need == NeedPrimary && c.Session != "" && r.Position != 0 {
@@ -689,8 +677,6 @@
 	}
 }
 
-// ---- Health and room of a member ----
-
 // judge learns from a result how its member fares.
 func (d *Driver) judge(c *call, m member, r Result) {
 	now := d.host.Now()
@@ -705,8 +691,8 @@
 	case r.Proof == OK:
 		d.lost[m], d.missed[m] = 0, false
 		d.teach(c, m, r.Took)
-	case r.Cause == TimedOut && r.Took > int64(d.took[m]):
-		d.teach(c, m, r.Took)
+	case r.Cause == TimedOut && d.strain[m] > quick:
+		d.room[m] = max(1, d.room[m]*0.85)
 	case r.Cause == Missed && c.isRead():
 		d.missed[m] = true
 	case r.Cause == Full:
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -102,10 +102,10 @@
 func (p *player) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
 	p.probes++
 	words := strings.Fields(p.acts[int(to)])
-	r := rules.ProbeResult{Took: int64(time.Millisecond)}
+	r, takes := rules.ProbeResult{}, int64(time.Millisecond)
 	switch words[0] {
 	case "silent":
-		r.Took, r.Cause = int64(250*time.Millisecond), rules.TimedOut
+		takes, r.Cause = int64(250*time.Millisecond), rules.TimedOut
 	case "busy":
 		r.Cause = rules.Full
 	case "down":
@@ -113,7 +113,7 @@
 	default:
 		r.Sighting = p.sighting(words)
 	}
-	p.After(r.Took, func() { next(r) })
+	p.After(takes, func() { next(r) })
 }
 
 // sighting reads a role and how old the position is.
@@ -201,6 +201,8 @@
 			m.Effect = rules.NonIdempotent
 		case "tokened":
 			m.Effect, m.Window = rules.Tokened, p.span(value)
+		case "deadline":
+			m.Deadline = p.span(value)
 		case "late":
 			m.LateUtility = 0.5
 		case "utility":
@@ -227,7 +229,7 @@
 		case "news":
 			p.crew = rules.Crew{Drivers: 2, News: p.number(value)}
 		case "cold":
-			p.thaw = rules.Thaw{Share: 0.2, WarmAfter: p.span(value), Multiple: 2, Window: int64(time.Second)}
+			p.thaw = rules.Thaw{Share: 0.2, WarmAfter: p.span(value), Multiple: 2}
 		default:
 			require.Fail(p.t, p.at)
 		}
@@ -276,6 +278,8 @@
 			r.Left = p.span(value)
 		case "session":
 			r.Session = value
+		case "repeat":
+			r.Repeat = true
 		default:
 			require.Fail(p.t, p.at)
 		}
