--- a/rules/rules.go
+++ b/rules/rules.go
@@ -123,15 +123,15 @@
 func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw,
 	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
-		roster: roster{notice: notice}, sightings: sightings{store: store, interval: longestProbe},
+		roster: roster{notice: notice}, sightings: sightings{store: store, due: longestProbe},
 		thawing: thawing{Thaw: thaw}, spare: spares{left: 5, success: 0.5}, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
 	for _, m := range methods { // half of the smallest bound
 		if m.Need == NeedBounded {
-			d.interval = min(d.interval, max(shortestProbe, m.Bound/2))
+			d.due = min(d.due, max(shortestProbe, m.Bound/2))
 		}
 	}
-	d.due = d.interval
+	d.interval = d.due / 2 // a probe is spared where an answer or news came since the last one
 	if crew.News > 0 && crew.Drivers > 1 {
 		d.due *= min(3, max(1, int64(crew.Drivers)/2)) // the fellow drivers' probes serve as well
 		d.tellLoop(crew.News)
