--- a/rules/rules.go
+++ b/rules/rules.go
@@ -418,9 +418,9 @@
 		return true
 	}
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	rate := min(1, able*d.Multiple/2) * d.of[m].rate / float64(len(d.of[m].members))
+	rate := min(1.5, able*d.Multiple*0.6) * d.of[m].rate / float64(len(d.of[m].members))
 	left := &d.thawing.left[m]
-	*left = min(1+rate*0.2, *left+rate*float64(now-d.fed[m])/float64(sec))
+	*left = min(max(1, rate*0.2), *left+rate*float64(now-d.fed[m])/float64(sec))
 	d.fed[m] = now
 	return *left >= 1
 }
