--- a/rules/rules.go
+++ b/rules/rules.go
@@ -409,7 +409,7 @@
 	return float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.thawed(m)
 }
 
-// thawed keeps a cold member's budget: half the stated multiple of what it can do at the least, as a share
+// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, as a share
 // of this driver's mean traffic a member. So it holds for all drivers together without their agreement.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
@@ -418,7 +418,7 @@
 		return true
 	}
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	rate := min(1.5, able*d.Multiple*0.6) * d.of[m].rate / float64(len(d.of[m].members))
+	rate := min(2, able*d.Multiple*0.8) * d.of[m].rate / float64(len(d.of[m].members))
 	left := &d.thawing.left[m]
 	*left = min(max(1, rate*0.2), *left+rate*float64(now-d.fed[m])/float64(sec))
 	d.fed[m] = now
