--- a/rules/rules.go
+++ b/rules/rules.go
@@ -572,7 +572,7 @@
 // patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member
 // that keeps it waiting too long while there is time for another; else it waits to the deadline.
 func (d *Driver) patience(c *call, m member) int64 {
-	if wait := d.tooLong(c, m) * 3 / 2; !d.allowed.Copies && d.another(c, wait) {
+	if wait := d.tooLong(c, m) * 2; !d.allowed.Copies && d.another(c, wait) {
 		return wait
 	}
 	return c.deadline - d.host.Now()
