Members that left do not shrink the share of cold ones

Cause: late in a release a group's list holds as many gone members as live ones, and the mean traffic a member, the measure of the cold budget, was taken over all of them.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,7 +17,7 @@
 	ms  = int64(1_000_000)
 	sec = 1000 * ms
 
-	shortestProbe = 100 * ms // probe interval: half of the smallest bound, kept within these
+	shortestProbe = 100 * ms // own probes come every half of the smallest bound, kept within these
 	longestProbe  = 250 * ms
 	hush          = 150 * ms // a probe unanswered for so long makes its member silent
 	longHush      = sec      // after so long a silence a member may have restarted
@@ -73,9 +73,6 @@
 	left         []float64 // call-outs it may get now
 }
 
-// spares is the budget of further call-outs: it follows the share of recent ones that were ok.
-type spares struct{ left, success float64 }
-
 type group struct {
 	id      GroupID
 	members []member
@@ -108,7 +105,8 @@
 	sightings
 	health
 	thawing
-	spare   spares
+	spare   float64 // further call-outs that may be made now
+	success float64 // share of recent further call-outs that were ok
 	host    Host
 	rng     *rand.Rand
 	methods []Method
@@ -124,7 +122,7 @@
 	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
 		roster: roster{notice: notice}, sightings: sightings{store: store, due: longestProbe},
-		thawing: thawing{Thaw: thaw}, spare: spares{left: 5, success: 0.5}, index: map[MemberID]member{},
+		thawing: thawing{Thaw: thaw}, spare: 5, success: 0.5, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
 	for _, m := range methods { // half of the smallest bound
 		if m.Need == NeedBounded {
@@ -395,9 +393,7 @@
 }
 
 // cost is the answer time to expect of a member: what it took of late, and what we have out there.
-func (d *Driver) cost(m member) float64 {
-	return d.took[m] * (1 + float64(d.out[m]))
-}
+func (d *Driver) cost(m member) float64 { return d.took[m] * (1 + float64(d.out[m])) }
 
 // usable tells whether a member may get anything at all.
 func (d *Driver) usable(m member) bool {
@@ -417,8 +413,14 @@
 	if d.started[m] == 0 || age >= d.WarmAfter {
 		return true
 	}
+	mates := 1.0 // besides those that have left: successors of a release do not shrink each other's share
+	for _, o := range d.of[m].members {
+		if o != m && d.state[o] == Healthy {
+			mates++
+		}
+	}
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	rate := min(2, able*d.Multiple*0.8) * d.of[m].rate / float64(len(d.of[m].members))
+	rate := min(2, able*d.Multiple*0.8) * d.of[m].rate / mates
 	left := &d.thawing.left[m]
 	*left = min(max(1, rate*0.2), *left+rate*float64(now-d.fed[m])/float64(sec))
 	d.fed[m] = now
@@ -457,7 +459,7 @@
 		d.finish(c) // no answer could still be of use: guards the members against storms of repeats
 		return
 	}
-	d.spare.left = min(10, d.spare.left+0.02+0.15*d.spare.success)
+	d.spare = min(10, d.spare+0.02+0.15*d.success)
 	d.step(c)
 }
 
@@ -507,9 +509,8 @@
 
 // wake looks again at the RPCs held for a group, those of most utility first.
 func (d *Driver) wake(g *group) {
-	queue := g.held
+	queue, now := g.held, d.host.Now()
 	g.held = nil
-	now := d.host.Now()
 	slices.SortStableFunc(queue, func(a, b *call) int {
 		return cmp.Or(cmp.Compare(b.worth(now), a.worth(now)), cmp.Compare(b.soft, a.soft))
 	})
@@ -544,10 +545,8 @@
 	d.out[m]++
 	d.thawing.left[m]--
 	c.group.sent(now)
-	within := d.patience(c, m)
-	var number int
-	counted := true
-	number = d.host.CallOut(c.ID, d.ids[m], within, func(r Result) {
+	number, counted := 0, true
+	number = d.host.CallOut(c.ID, d.ids[m], d.patience(c, m), func(r Result) {
 		if r.Proof != Started && counted {
 			d.out[m]--
 		}
@@ -585,7 +584,7 @@
 // another tells whether a further call-out of an idempotent read may be made after a wait, and could be in
 // time.
 func (d *Driver) another(c *call, wait int64) bool {
-	may := c.method.Effect == Idempotent && c.isRead() && c.tries < d.allowed.CallOuts && d.spare.left >= 1
+	may := c.method.Effect == Idempotent && c.isRead() && c.tries < d.allowed.CallOuts && d.spare >= 1
 	return may && d.host.Now()+wait+int64(c.group.took) <= c.deadline
 }
 
@@ -599,7 +598,7 @@
 	}
 	if !c.ended && d.allowed.Copies && len(c.out) == 1 && d.another(c, 0) {
 		if to := d.pick(c); to != nobody { // a second copy
-			d.spare.left--
+			d.spare--
 			d.callOut(c, to)
 		}
 	}
@@ -616,7 +615,7 @@
 	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
 	d.judge(c, m, r)
 	if c.tries > 1 && r.Proof != NeverRan {
-		d.spare.success += 0.1 * (map[Proof]float64{OK: 1}[r.Proof] - d.spare.success)
+		d.success += 0.1 * (map[Proof]float64{OK: 1}[r.Proof] - d.success)
 	}
 	if !c.ended {
 		d.next(c, m, sent, r)
@@ -640,12 +639,12 @@
 	}
 	lost := r.Proof == MayHaveRun
 	over := c.started || c.tries >= d.allowed.CallOuts || d.host.Now() >= c.deadline
-	if over || !d.mayRepeat(c, m) || lost && d.spare.left < 1 {
+	if over || !d.mayRepeat(c, m) || lost && d.spare < 1 {
 		d.finish(c)
 		return
 	}
 	if lost {
-		d.spare.left--
+		d.spare--
 	}
 	d.step(c)
 }
