Room at the start is shared by the drivers

Cause: nine or twelve drivers with room for three call-outs each flood a member of three to five cores, at the start and whenever a set-aside ends. Guards against any large crew; could harm a crew in which most drivers idle.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,7 +27,7 @@
 	fullRest      = 40 * ms  // a member that turned work away full is left alone so long
 	holdPoll      = 100 * ms // an RPC held looks again this often
 	firstTook     = 100 * ms // answer time to expect before any was seen
-	firstRoom     = 3.0      // call-outs of ours that a member may hold, before its answers teach better
+	firstRoom     = 9.0      // call-outs of all drivers that a member may hold, before its answers teach better
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
@@ -63,6 +63,7 @@
 	heard, asking, aside []int64   // last answer; the unanswered probe's time; set aside until
 	silent, back         []bool    // does not answer; on a trickle that doubles
 	out, lost            []int     // call-outs out, and those lost in a row
+	first                float64   // room before answers teach better
 	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
 }
 
@@ -122,6 +123,7 @@
 	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
 		roster: roster{notice: notice}, sightings: sightings{store: store, due: longestProbe},
+		health:  health{first: max(1, firstRoom/float64(max(1, crew.Drivers)))},
 		thawing: thawing{Thaw: thaw}, spare: 5, success: 0.5, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
 	for _, m := range methods { // half of the smallest bound
@@ -193,7 +195,7 @@
 		*a = append(*a, false)
 	}
 	d.out, d.lost, d.role = append(d.out, 0), append(d.lost, 0), append(d.role, RoleUnknown)
-	d.room, d.took = append(d.room, firstRoom), append(d.took, g.took)
+	d.room, d.took = append(d.room, d.first), append(d.took, g.took)
 	d.strain, d.thawing.left = append(d.strain, 0), append(d.thawing.left, 1)
 	if d.allowed.Probes {
 		d.probeLoop(m)
@@ -392,8 +394,7 @@
 	return in[d.rng.Intn(len(in))]
 }
 
-// cost is the answer time to expect of a member: what it took of late, and what we have out there.
-func (d *Driver) cost(m member) float64 { return d.took[m] * (1 + float64(d.out[m])) }
+func (d *Driver) cost(m member) float64 { return d.took[m] * (1 + float64(d.out[m])) } // expected time
 
 // usable tells whether a member may get anything at all.
 func (d *Driver) usable(m member) bool {
@@ -561,7 +562,6 @@
 	})
 }
 
-// sent counts a call-out into the group's rate, smoothed over about a second.
 func (g *group) sent(now int64) {
 	gap := float64(max(now-g.last, ms)) / float64(sec)
 	g.last = now
@@ -713,7 +713,7 @@
 		d.back[m] = false
 	case d.back[m]:
 		d.room[m] *= 2
-		if d.room[m] >= firstRoom {
+		if d.room[m] >= d.first {
 			d.back[m] = false
 			d.logf("back member=%d room=%.0f", d.ids[m], d.room[m])
 		}
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -25,7 +25,7 @@
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
 			p := &player{t: t, now: int64(time.Hour), acts: map[int]string{}, rpcs: map[rules.RPCID]*seen{},
-				sent: map[int]int{}, crew: rules.Crew{Drivers: 1}, allowed: rules.Allowed{CallOuts: 6, Cancel: true, Probes: true}}
+				sent: map[int]int{}, crew: rules.Crew{Drivers: 3}, allowed: rules.Allowed{CallOuts: 6, Cancel: true, Probes: true}}
 			for i, line := range strings.Split(string(text), "\n") {
 				p.at = fmt.Sprintf("%s:%d: %s", file, i+1, line)
 				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
