The cold budget starts empty at each start of a member

Cause: read in the code. Every driver had one call-out saved up for each member, so a large crew could flood one that has just started within the rule's window; and call-outs to it while warm were booked against its next start, which could starve it. Now nothing is saved up from before. Guards against any crew's size.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	ms  = int64(1_000_000)
-	sec = 1000 * ms
+	ms, sec = int64(1_000_000), int64(1_000_000_000)
 
 	shortestProbe = 100 * ms // own probes come every half of the smallest bound, kept within these
 	longestProbe  = 250 * ms
@@ -141,10 +140,8 @@
 
 // List takes the list or, when whole is false, what changed in it.
 func (d *Driver) List(lines []Listing, whole bool) {
-	for m := range d.state {
-		if whole { // whom the list leaves out is gone
-			d.state[m] = Gone
-		}
+	for m := 0; whole && m < len(d.state); m++ {
+		d.state[m] = Gone // unless it is listed below
 	}
 	for _, l := range lines {
 		m, known := d.index[l.Member]
@@ -423,6 +420,9 @@
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
 	rate := min(2, able*d.Multiple*0.8) * d.of[m].rate / mates
 	left := &d.thawing.left[m]
+	if d.fed[m] < d.started[m] { // nothing saved up from before: many drivers' first could flood it
+		*left, d.fed[m] = 0, now
+	}
 	*left = min(max(1, rate*0.2), *left+rate*float64(now-d.fed[m])/float64(sec))
 	d.fed[m] = now
 	return *left >= 1
