--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -28,8 +28,10 @@
 				sent: map[int]int{}, crew: rules.Crew{Drivers: 3}, allowed: rules.Allowed{CallOuts: 6, Cancel: true, Probes: true}}
 			for i, line := range strings.Split(string(text), "\n") {
 				p.at = fmt.Sprintf("%s:%d: %s", file, i+1, line)
-				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
-					p.play(words)
+				for _, step := range strings.Split(line, ";") {
+					if words := strings.Fields(step); len(words) > 0 && !strings.HasPrefix(line, "#") {
+						p.play(words)
+					}
 				}
 			}
 		})
