--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -13,23 +13,42 @@
 
 // fields are the name=value parts of one line. The first thing found wrong with them is kept in err.
 type fields struct {
-	name string
-	at   map[string]string
-	err  error
+	name  string
+	parts []part
+	err   error
 }
 
-func parseLine(line string) *fields {
-	parts := strings.Split(line, "\t")
-	f := &fields{name: parts[0], at: make(map[string]string, len(parts)-1)}
-	for _, part := range parts[1:] {
-		name, value, ok := strings.Cut(part, "=")
+type part struct{ name, value string }
+
+// parse reads a line, or a report's parts, into f, which is used again for each line.
+func (f *fields) parse(line, between, equals string) {
+	f.name, line, _ = strings.Cut(line, between)
+	f.parts, f.err = f.parts[:0], nil
+	for more := line != ""; more; {
+		var text string
+		text, line, more = strings.Cut(line, between)
+		name, value, ok := strings.Cut(text, equals)
 		if !ok || name == "" {
-			f.wrong("part %q is not name=value", part)
+			f.wrong("part %q is not name%svalue", text, equals)
 			continue
 		}
-		f.at[name] = value
+		f.parts = append(f.parts, part{name, value})
+	}
+}
+
+// get finds a part; lines are short, so that a look along them beats a map.
+func (f *fields) get(name string) (string, bool) {
+	for _, p := range f.parts {
+		if p.name == name {
+			return p.value, true
+		}
 	}
-	return f
+	return "", false
+}
+
+func (f *fields) at(name string) string {
+	value, _ := f.get(name)
+	return value
 }
 
 func (f *fields) wrong(format string, args ...any) {
@@ -39,7 +58,7 @@
 }
 
 func (f *fields) text(name string) string {
-	value, ok := f.at[name]
+	value, ok := f.get(name)
 	if !ok {
 		f.wrong("%s is missing", name)
 	}
@@ -68,14 +87,14 @@
 }
 
 func (f *fields) integerOr(name string, other int64) int64 {
-	if value, ok := f.at[name]; ok {
+	if value, ok := f.get(name); ok {
 		return f.asInteger(name, value)
 	}
 	return other
 }
 
 func (f *fields) numberOr(name string, other float64) float64 {
-	value, ok := f.at[name]
+	value, ok := f.get(name)
 	if !ok {
 		return other
 	}
@@ -88,7 +107,7 @@
 }
 
 func (f *fields) boolOr(name string, other bool) bool {
-	switch value, ok := f.at[name]; {
+	switch value, ok := f.get(name); {
 	case !ok:
 		return other
 	case value == "1" || value == "true":
@@ -112,10 +131,10 @@
 }
 
 func (f *fields) list(name string) []string {
-	if f.at[name] == "" {
+	if f.at(name) == "" {
 		return nil
 	}
-	return strings.Split(f.at[name], ",")
+	return strings.Split(f.at(name), ",")
 }
 
 // choice reads one of the words of a table.
@@ -171,7 +190,7 @@
 		m := &methods[i]
 		m.Name = f.text(at + "name")
 		m.Effect = choice(f, at+"effect", f.text(at+"effect"), effects)
-		m.Scope = choice(f, at+"keyScope", f.at[at+"keyScope"], scopes)
+		m.Scope = choice(f, at+"keyScope", f.at(at+"keyScope"), scopes)
 		m.Window = f.time(at + "windowUs")
 		m.SoftDeadline = f.integer(at+"aimUs") * micro
 		m.Deadline = f.time(at + "giveUpUs")
@@ -197,8 +216,8 @@
 
 func (f *fields) store() rules.Store {
 	return rules.Store{
-		Guarded: choice(f, "extra.guards", f.at["extra.guards"], guards),
-		Carried: f.at["extra.tokens"] == "client",
+		Guarded: choice(f, "extra.guards", f.at("extra.guards"), guards),
+		Carried: f.at("extra.tokens") == "client",
 	}
 }
 
@@ -225,7 +244,7 @@
 
 func (f *fields) notice() rules.Notice {
 	return rules.Notice{
-		Asked:     choice(f, "discovery", f.at["discovery"], asks),
+		Asked:     choice(f, "discovery", f.at("discovery"), asks),
 		DrainOnly: f.boolOr("safety.softRemoval", false),
 	}
 }
@@ -234,7 +253,7 @@
 	return rules.Listing{
 		Member:  rules.MemberID(f.id("member")),
 		Group:   rules.GroupID(f.integerOr("group", 0)),
-		Zone:    f.at["hall"],
+		Zone:    f.at("hall"),
 		State:   choice(f, "stageState", f.text("stageState"), states),
 		Started: f.time("bootTimeUs"),
 		Primary: f.numberOr("head", 0) == 1,
@@ -258,15 +277,9 @@
 func (f *fields) probeResult(epoch int64) rules.ProbeResult {
 	end := choice(f, "outcome", f.text("outcome"), endings)
 	r := rules.ProbeResult{Cause: end.cause}
-	load := &fields{name: f.name + " report", at: map[string]string{}}
-	for _, pair := range f.list("report") {
-		name, value, ok := strings.Cut(pair, ":")
-		if !ok {
-			f.wrong("report part %q is not name:value", pair)
-		}
-		load.at[name] = value
-	}
-	if _, ok := load.at["x0"]; ok {
+	var load fields
+	load.parse("report,"+f.at("report"), ",", ":")
+	if _, ok := load.get("x0"); ok {
 		r.Position = epoch + int64(load.numberOr("x0", 0)*1e9)
 		r.Role = rules.RoleReplica
 		if load.numberOr("x1", 0) >= 0.5 {
--- a/internal/simwire/news.go
+++ b/internal/simwire/news.go
@@ -3,24 +3,26 @@
 import (
 	"encoding/base64"
 	"encoding/binary"
+	"math"
 
 	"sedgespread/rules"
 )
 
 const (
 	messageBytes = 256
-	newsBytes    = 12 // member, then four times the position in milliseconds plus the role
+	newsBytes    = binary.MaxVarintLen32 + binary.MaxVarintLen64 // at the most
 	milli        = int64(1_000_000)
 )
 
+// Tell writes, for each of the news, the member and then four times the position in milliseconds plus the role.
 func (d *driver) Tell(news []rules.News) {
 	var content []byte
 	for _, n := range news {
-		content = binary.BigEndian.AppendUint32(content, uint32(n.Member))
+		content = binary.AppendUvarint(content, uint64(n.Member))
 		note := max(n.Position-d.epoch, 0)/milli*4 + int64(n.Role)
-		content = binary.BigEndian.AppendUint64(content, uint64(note))
+		content = binary.AppendUvarint(content, uint64(note))
 	}
-	d.write("SIGNAL\twho=%d\taddressee=all\tcontent=%s", d.who, base64.StdEncoding.EncodeToString(content))
+	d.begin("SIGNAL").words("addressee", "all").words("content", base64.StdEncoding.EncodeToString(content)).send()
 }
 
 // whisper reads what a fellow driver told. A message that is not of our making is passed over.
@@ -29,18 +31,21 @@
 	if err != nil {
 		f.wrong("content is not base64")
 	}
-	if f.err != nil || len(content)%newsBytes != 0 {
+	if f.err != nil {
 		return
 	}
-	var news []rules.News
-	for ; len(content) > 0; content = content[newsBytes:] {
-		note := binary.BigEndian.Uint64(content[4:])
+	news := d.w.news[:0]
+	for len(content) > 0 {
+		id, n := binary.Uvarint(content)
+		note, k := binary.Uvarint(content[max(n, 0):])
 		role, known := roles[int64(note%4)]
-		if !known || note > 1<<50 {
+		if n <= 0 || k <= 0 || !known || id > math.MaxUint32 || note > 1<<50 {
 			return
 		}
-		news = append(news, rules.News{Member: rules.MemberID(binary.BigEndian.Uint32(content)),
+		news = append(news, rules.News{Member: rules.MemberID(id),
 			Sighting: rules.Sighting{Role: role, Position: d.epoch + int64(note/4)*milli}})
+		content = content[n+k:]
 	}
+	d.w.news = news
 	d.Told(news)
 }
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 
 	"sedgespread/rules"
@@ -19,6 +20,9 @@
 	in      *bufio.Reader
 	out     *bufio.Writer
 	line    int
+	fields               // of the line read last
+	text    []byte       // of the line being written
+	news    []rules.News // read last
 	now     int64
 	pages   map[int64][]rules.Listing
 	drivers map[int64]*driver
@@ -33,15 +37,15 @@
 	methods map[string]rules.MethodID
 	rpcs    map[rules.RPCID]*pending
 	probes  map[rules.MemberID][]func(rules.ProbeResult)
-	timers  map[int64]func()
-	handle  int64
+	timers  []func() // by handle
+	free    []int64  // handles that have fired
 }
 
 // pending are the call-outs of one RPC. It is dropped once the RPC has ended and all its results are in.
 type pending struct {
-	number int
-	ended  bool
-	next   map[int]func(rules.Result)
+	out   int
+	ended bool
+	next  []func(rules.Result) // nil once the result is in
 }
 
 // Serve answers batches until the input ends. An error says what was wrong, and in which line.
@@ -72,8 +76,8 @@
 		}
 		w.line++
 		if text = strings.TrimRight(text, "\r\n"); text != "" {
-			f := parseLine(text)
-			return f, f.err
+			w.parse(text, "\t", "=")
+			return &w.fields, w.err
 		}
 	}
 }
@@ -106,7 +110,7 @@
 			return err
 		}
 		if f.name == "EOB" {
-			fmt.Fprintf(w.out, "YIELD\tn=%d\n", n)
+			w.begin("YIELD").number("n", n).send()
 			return w.out.Flush()
 		}
 		if err := w.event(f); err != nil {
@@ -127,7 +131,7 @@
 		return f.err
 	}
 	if d == nil {
-		return fmt.Errorf("%s: who=%s is not running", f.name, f.at["who"])
+		return fmt.Errorf("%s: who=%s is not running", f.name, f.at("who"))
 	}
 	switch f.name {
 	case "STOP":
@@ -183,7 +187,7 @@
 
 func (w *wire) newInstance(f *fields) error {
 	d := &driver{w: w, who: f.integer("who"), epoch: f.time("extra.countedFromUs"), methods: map[string]rules.MethodID{},
-		rpcs: map[rules.RPCID]*pending{}, probes: map[rules.MemberID][]func(rules.ProbeResult){}, timers: map[int64]func(){}}
+		rpcs: map[rules.RPCID]*pending{}, probes: map[rules.MemberID][]func(rules.ProbeResult){}}
 	methods := f.methods()
 	for i, m := range methods {
 		d.methods[m.Name] = rules.MethodID(i)
@@ -207,7 +211,7 @@
 	whole := choice(f, "mode", mode, modes)
 	lines, ok := d.w.pages[f.integer("slot")]
 	if !ok {
-		f.wrong("slot=%s holds no list", f.at["slot"])
+		f.wrong("slot=%s holds no list", f.at("slot"))
 	}
 	if f.err == nil {
 		d.List(lines, whole)
@@ -217,12 +221,12 @@
 func (d *driver) request(f *fields) {
 	method := choice(f, "tierClass", f.text("tierClass"), d.methods)
 	rpc := rules.RPC{ID: rules.RPCID(f.id("xid")), Method: method, Group: rules.GroupID(f.integerOr("cluster", 0)),
-		Session: f.at["key"], Left: f.integer("graceUs") * micro, Repeat: f.integerOr("flags", 0)&repeatFlag != 0}
+		Session: f.at("key"), Left: f.integer("graceUs") * micro, Repeat: f.integerOr("flags", 0)&repeatFlag != 0}
 	if ago := f.numberOr("lastWriteMs", 0); ago > 0 {
 		rpc.Token = d.w.now - int64(ago*1e6)
 	}
 	if f.err == nil {
-		d.rpcs[rpc.ID] = &pending{next: map[int]func(rules.Result){}}
+		d.rpcs[rpc.ID] = &pending{}
 		d.Take(rpc)
 	}
 }
@@ -233,13 +237,14 @@
 		return
 	}
 	p := d.rpcs[id]
-	if p == nil || p.next[n] == nil {
+	if p == nil || n < 0 || n >= len(p.next) || p.next[n] == nil {
 		f.wrong("xid=%d n=%d is not out", id, n)
 		return
 	}
 	next := p.next[n]
 	if last {
-		delete(p.next, n)
+		p.next[n] = nil
+		p.out--
 	}
 	if r.Final || r.Proof == rules.OK {
 		d.ended(id)
@@ -257,19 +262,20 @@
 }
 
 func (d *driver) drop(id rules.RPCID) {
-	if p := d.rpcs[id]; p != nil && p.ended && len(p.next) == 0 {
+	if p := d.rpcs[id]; p != nil && p.ended && p.out == 0 {
 		delete(d.rpcs, id)
 	}
 }
 
 func (d *driver) fired(f *fields) {
 	handle := f.integer("handle")
-	next := d.timers[handle]
-	if next == nil {
+	if handle < 0 || handle >= int64(len(d.timers)) || d.timers[handle] == nil {
 		f.wrong("handle=%d is not set", handle)
 		return
 	}
-	delete(d.timers, handle)
+	next := d.timers[handle]
+	d.timers[handle] = nil
+	d.free = append(d.free, handle)
 	next()
 }
 
@@ -285,10 +291,31 @@
 	}
 }
 
-func (d *driver) write(format string, args ...any) {
-	fmt.Fprintf(d.w.out, format+"\n", args...)
+// begin starts a line to be written.
+func (w *wire) begin(name string) *wire {
+	w.text = append(w.text[:0], name...)
+	return w
+}
+
+func (w *wire) number(name string, value int64) *wire {
+	w.words(name, "")
+	w.text = strconv.AppendInt(w.text, value, 10)
+	return w
+}
+
+func (w *wire) words(name, value string) *wire {
+	w.text = append(append(append(w.text, '\t'), name...), '=')
+	w.text = append(w.text, value...)
+	return w
+}
+
+func (w *wire) send() {
+	w.out.Write(append(w.text, '\n')) // what goes wrong shows at the flush
 }
 
+// begin starts a line of this instance.
+func (d *driver) begin(name string) *wire { return d.w.begin(name).number("who", d.who) }
+
 // up turns a span into whole microseconds, rounded up.
 func up(span int64) int64 { return (span + micro - 1) / micro }
 
@@ -296,40 +323,45 @@
 
 func (d *driver) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
 	p := d.rpcs[id]
-	n := p.number
-	p.number++
-	p.next[n] = next
-	d.write("ATTEMPT\twho=%d\txid=%d\tmember=%d\twithinUs=%d", d.who, id, to, up(within))
+	n := len(p.next)
+	p.next = append(p.next, next)
+	p.out++
+	d.begin("ATTEMPT").number("xid", int64(id)).number("member", int64(to)).number("withinUs", up(within)).send()
 	return n
 }
 
 func (d *driver) Cancel(id rules.RPCID, number int) {
-	d.write("RETRACT\twho=%d\txid=%d\tn=%d", d.who, id, number)
+	d.begin("RETRACT").number("xid", int64(id)).number("n", int64(number)).send()
 }
 
 func (d *driver) PushBack(id rules.RPCID, comeBack int64) {
-	d.write("BUSY\twho=%d\txid=%d\tretryAfterUs=%d", d.who, id, up(comeBack))
+	d.begin("BUSY").number("xid", int64(id)).number("retryAfterUs", up(comeBack)).send()
 	d.ended(id)
 }
 
 func (d *driver) Abort(id rules.RPCID) {
-	d.write("LOSE\twho=%d\txid=%d", d.who, id)
+	d.begin("LOSE").number("xid", int64(id)).send()
 	d.ended(id)
 }
 
 func (d *driver) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
 	d.probes[to] = append(d.probes[to], next)
-	d.write("CHECK\twho=%d\tmember=%d", d.who, to)
+	d.begin("CHECK").number("member", int64(to)).send()
 }
 
 func (d *driver) After(wait int64, next func()) {
-	d.handle++
-	d.timers[d.handle] = next
-	d.write("AFTER\twho=%d\tafterUs=%d\thandle=%d", d.who, up(max(wait, 0)), d.handle)
+	handle := int64(len(d.timers))
+	if last := len(d.free) - 1; last >= 0 {
+		handle, d.free = d.free[last], d.free[:last]
+		d.timers[handle] = next
+	} else {
+		d.timers = append(d.timers, next)
+	}
+	d.begin("AFTER").number("afterUs", up(max(wait, 0))).number("handle", handle).send()
 }
 
-func (d *driver) Watch() { d.write("SUBSCRIBE\twho=%d\ton=1", d.who) }
+func (d *driver) Watch() { d.begin("SUBSCRIBE").number("on", 1).send() }
 
 func (d *driver) Log(line string) {
-	d.write("NOTE_DOWN\twho=%d\tmsg=%s", d.who, line)
+	d.begin("NOTE_DOWN").words("msg", line).send()
 }
