--- a/rules/api.go
+++ b/rules/api.go
@@ -61,6 +61,7 @@
 type News struct {
 	Member MemberID
 	Sighting
+	Took int64 // a recent answer time, 0 for none
 }
 
 // Store says how the members replicate and what they check.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,7 +19,7 @@
 	shortestProbe = 100 * ms // a position is old after half of the smallest bound, kept within these
 	longestProbe  = 250 * ms
 	rarestProbe   = 10 * sec // most time between own probes of a member
-	newsApart     = 4 * ms   // a driver hears no more than one message of its fellows in this time
+	newsApart     = 8 * ms   // a driver hears no more than one message of its fellows in this time
 	hush          = 150 * ms // a probe unanswered for so long makes its member silent
 	longHush      = sec      // after so long a silence a member may have restarted
 	handover      = 200 * ms // a member that turned a write away is not believed primary again for so long
@@ -32,6 +32,8 @@
 	firstTook     = 100 * ms // answer time to expect before any was seen
 	firstGap      = 2 * sec  // time between call-outs of a group to expect
 	firstRoom     = 9.0      // call-outs of all drivers that a member may hold, before its answers teach better
+	mostLooks     = 2        // replicas probed for one read
+	savedUp       = 3.0      // call-outs of a group for which a cold member's share is saved up
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
@@ -49,15 +51,17 @@
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
 	d.rarest = rarestProbe
 	for _, m := range methods {
+		d.soft += m.SoftDeadline / int64(len(methods))
 		if m.Need == NeedBounded {
 			d.rarest = min(d.rarest, m.Bound/2)
 		}
 	}
 	d.due = min(longestProbe, max(shortestProbe, d.rarest))
-	d.interval, d.taken = d.due/2, h.Now()
 	if crew.News > 0 { // the fellow drivers' probes serve as well
-		d.rarest = min(rarestProbe, d.due*int64(max(1, crew.Drivers/2)))
+		d.rarest = rarestProbe
 	}
+	d.rarest = min(d.rarest, d.due*int64(max(1, crew.Drivers/2)))
+	d.interval, d.taken, d.gap = d.due/2, h.Now(), float64(firstGap)
 	return d
 }
 
@@ -92,8 +96,10 @@
 		d.kept[m] = true
 		d.keeping++
 		d.of[m].members = append(d.of[m].members, m)
-		if d.allowed.Probes {
+		if d.allowed.Probes && d.crew.News == 0 {
 			d.probeLoop(m)
+		} else if d.allowed.Probes { // the first to look tells the others
+			d.host.After(d.rng.Int63n(ms*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
 		}
 	}
 }
@@ -136,7 +142,7 @@
 func (d *Driver) probe(m member) {
 	now := d.host.Now()
 	if d.asking[m] != 0 {
-		return
+		return // one is on its way
 	}
 	d.asking[m] = now
 	d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
@@ -166,17 +172,18 @@
 		return
 	}
 	d.telling = true
-	pace := max(d.interval, newsApart*int64(d.crew.Drivers))
-	d.host.After(d.told+pace-d.host.Now(), func() {
-		d.telling, d.told = false, d.host.Now()
+	d.host.After(d.told+max(d.interval, newsApart*int64(d.crew.Drivers))-d.host.Now(), func() {
+		d.telling = false
 		var news []News
 		for m, untold := range d.untold {
-			if untold && len(news) < d.crew.News {
-				d.untold[m] = false
-				news = append(news, News{d.ids[m], Sighting{d.role[m], d.pos[m]}})
+			d.untold[m] = false
+			if untold && len(news) < d.crew.News && d.host.Now()-d.learned[m] < d.due {
+				news = append(news, News{d.ids[m], Sighting{d.role[m], d.pos[m]}, d.answered[m]})
+				d.answered[m] = 0
 			}
 		}
 		if len(news) > 0 {
+			d.told = d.host.Now()
 			d.host.Tell(news)
 		}
 	})
@@ -188,6 +195,9 @@
 		if m, known := d.index[n.Member]; known && n.Position > d.pos[m] {
 			d.sighted(m, n.Sighting, false)
 			d.untold[m] = false
+			if n.Took > 0 {
+				d.learn(m, float64(n.Took), d.soft)
+			}
 			if d.silent[m] { // it has moved on: look for ourselves, not all at once
 				d.host.After(d.rng.Int63n(hush), func() { d.probe(m) })
 			}
@@ -227,8 +237,8 @@
 		return
 	}
 	if s.Position != 0 {
-		age, useful := now-d.learned[m], s.Role == RoleReplica && s.Position > now-2*d.due
-		if s.Role != d.role[m] || age >= d.due && useful || age >= longHush {
+		age := now - d.learned[m]
+		if s.Role != d.role[m] || age >= 2*d.due || age >= d.interval && s.Role == RoleReplica {
 			d.tell(m)
 		}
 		d.pos[m], d.learned[m] = s.Position, now
@@ -289,42 +299,75 @@
 	return false
 }
 
-// pick names the member for the next call-out of an RPC, or nobody if it has to wait.
+// pick names the member for the next call-out of an RPC, or nobody if it has to wait. A replica of which the
+// position is old may be chosen as if it passed: it is probed first. Guards drivers that see little against
+// crowding the primary and the few members that others told of. Could harm where probes are dear.
 func (d *Driver) pick(c *call) member {
 	g, p := c.group, c.group.primary
 	var passers []member
-	best := 0.0
 	for _, m := range g.members {
-		fit := m != p && d.usable(m) && d.fresh(m, c) && d.inTime(m, c) && d.hasRoom(m, 1) && d.mayRepeat(c, m)
-		if !fit || slices.Contains(c.tried, m) {
-			continue
-		}
-		if cost := d.cost(m); len(passers) == 0 || cost < best {
-			best = cost
+		if m != p && (d.fresh(m, c) || d.unknown(m, c)) && d.fits(m, c, 1) && !slices.Contains(c.tried, m) {
+			passers = append(passers, m)
 		}
-		passers = append(passers, m)
 	}
 	share, again := 1.0, true
 	if c.isRead() {
-		share, again = readShare, !slices.Contains(c.tried, p)
-	}
-	primary := p != nobody && again && d.usable(p) && d.inTime(p, c) && d.hasRoom(p, share) && d.mayRepeat(c, p)
-	if len(passers) > 0 && !(primary && d.cost(p)*jammed < best) {
-		return d.windowed(passers, best)
-	}
-	if !primary {
-		return nobody
+		share, again = readShare, p != nobody && !slices.Contains(c.tried, p) && d.spills(p, c)
+	}
+	primary := p != nobody && again && d.fits(p, c, share)
+	for primary || len(passers) > 0 {
+		m := d.windowed(passers, c.looked)
+		if m == nobody || primary && d.cost(p)*jammed < d.cost(m) {
+			m = p
+		} else if !d.fresh(m, c) {
+			c.looked, c.looks = m, c.looks+1
+			d.probe(m)
+			return nobody
+		}
+		if d.thawed(m) {
+			return m
+		}
+		primary = primary && m != p
+		passers = slices.DeleteFunc(passers, func(o member) bool { return o == m })
 	}
-	return p
+	return nobody
 }
 
-// isRead tells whether a replica may answer.
-func (c *call) isRead() bool { return c.method.Need != NeedPrimary && c.method.Need != NeedFresh }
+// spills tells whether a read may go to the primary. One of many drivers cannot tell by its room when that
+// has none for reads: the more it is strained the fewer go, by lot, so that all drivers do not turn at once.
+func (d *Driver) spills(p member, c *call) bool {
+	return d.first > 1 || d.strain[p] < quick+c.lot*(2*strained-quick)
+}
 
-// windowed picks at random among the passers whose expected answer time lies in the latency window.
-func (d *Driver) windowed(passers []member, best float64) member {
-	limit := best*(1+wideWindow) + float64(window)
-	in := slices.DeleteFunc(passers, func(m member) bool { return d.cost(m) > limit })
+// fits tells whether a member may get a call-out of an RPC: it has room, and is expected to answer while that
+// is of use. Guards against work in vain for clients of little patience, which would keep a busy member busy.
+func (d *Driver) fits(m member, c *call, share float64) bool {
+	inTime := d.host.Now()+int64(d.took[m]) <= c.last()
+	room := float64(d.out[m]+1) <= max(1, d.room[m]*share)
+	return inTime && room && d.usable(m) && d.mayRepeat(c, m)
+}
+
+// unknown tells whether a probe could show that a replica will do for an RPC.
+func (d *Driver) unknown(m member, c *call) bool {
+	return c.looks < mostLooks && c.isRead() && d.allowed.Probes && d.host.Now()-d.learned[m] >= d.due
+}
+
+// windowed picks at random among the passers whose expected answer time lies in the latency window; one that
+// was looked at is the pick already.
+func (d *Driver) windowed(passers []member, looked member) member {
+	if len(passers) == 0 {
+		return nobody
+	}
+	if slices.Contains(passers, looked) {
+		return looked
+	}
+	best := slices.MinFunc(passers, func(a, b member) int { return cmp.Compare(d.cost(a), d.cost(b)) })
+	limit, in := d.cost(best)*(1+wideWindow)+float64(window), []member(nil)
+	for _, m := range passers {
+		if d.cost(m) <= limit {
+			in = append(in, m)
+		}
+	}
 	return in[d.rng.Intn(len(in))]
 }
 
@@ -337,12 +380,9 @@
 	return met && !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
-func (d *Driver) hasRoom(m member, share float64) bool {
-	return float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.thawed(m)
-}
-
 // thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, as a share
-// of this driver's mean traffic a member. So it holds for all drivers together without their agreement.
+// of this driver's mean traffic a member. So it holds for all drivers together without their agreement. Lots
+// are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
 	age := now - d.started[m]
@@ -356,17 +396,9 @@
 		}
 	}
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	rate := float64(sec) * min(2, able*d.Multiple*0.8) / (g.gap * mates) // call-outs a second
-	left := d.thawing.left[m] + rate*float64(now-d.fed[m])/float64(sec)
-	if d.fed[m] < d.started[m] {
-		left = 0 // nothing saved up from before: many drivers' first could flood it
-	}
-	left = min(max(min(1, rate), rate*0.2), left)
-	if left < 1 && rate < 1 { // a lot drawn: small shares of many drivers must not add up to more
-		left = map[bool]float64{true: 1}[d.rng.Float64() < left]
-	}
-	d.thawing.left[m], d.fed[m] = left, now
-	return left >= 1
+	missed := min(savedUp, float64(now-max(d.fed[m], d.started[m]))/g.gap) // call-outs since the last lot
+	d.fed[m] = now
+	return d.rng.Float64() < missed*min(2, able*d.Multiple*0.8)/mates
 }
 
 // mayRepeat keeps the rule on effects for a call-out that would follow others.
@@ -391,7 +423,8 @@
 		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
 		return
 	}
-	c := &call{RPC: rpc, method: method, group: g, deadline: now + rpc.Left, soft: now + method.SoftDeadline}
+	c := &call{RPC: rpc, method: method, group: g, deadline: now + rpc.Left, soft: now + method.SoftDeadline,
+		looked: nobody, lot: d.rng.Float64()}
 	if method.Need == NeedSession && !d.store.Carried {
 		c.Token = max(d.tokens[rpc.Session], d.older[rpc.Session])
 	}
@@ -425,29 +458,12 @@
 	d.recheck(c)
 }
 
-// giveUp is the time from which an RPC still held can no longer be answered to any use.
-func (d *Driver) giveUp(c *call) int64 { return c.last() - int64(c.group.took) }
-
-// last is when an answer is of use at the latest.
-func (c *call) last() int64 {
-	if c.method.LateUtility == 0 {
-		return min(c.deadline, c.soft)
-	}
-	return c.deadline
-}
-
-// inTime tells whether a member is expected to answer while that is of use. Guards against work in vain for
-// clients of little patience, which would keep a busy member busy.
-func (d *Driver) inTime(m member, c *call) bool {
-	return d.host.Now()+int64(d.took[m]) <= c.last()
-}
-
-// recheck looks at a held RPC now and then, until it goes out or no answer could be of use.
+// recheck looks at a held RPC now and then, until it goes out or no answer could be of use any more.
 func (d *Driver) recheck(c *call) {
 	if c.ended || !c.held {
 		return
 	}
-	left := d.giveUp(c) - d.host.Now()
+	left := c.last() - int64(c.group.took) - d.host.Now()
 	if left <= 0 {
 		d.finish(c)
 		return
@@ -474,31 +490,23 @@
 		if c.ended {
 			continue
 		}
-		if !stuck[c.Method] {
+		if looks := c.looks; !stuck[c.Method] {
 			if m := d.pick(c); m != nobody {
 				c.held = false
 				d.callOut(c, m)
 				continue
 			}
-			stuck[c.Method] = c.method.Need != NeedSession && len(c.tried) == 0 && c.risk == 0
+			stuck[c.Method] = c.method.Need != NeedSession && len(c.tried) == 0 && c.risk == 0 && c.looks == looks
 		}
 		g.held = append(g.held, c)
 	}
 }
 
-func (c *call) worth(now int64) float64 {
-	if now > c.soft {
-		return c.method.Utility * c.method.LateUtility
-	}
-	return c.method.Utility
-}
-
 func (d *Driver) callOut(c *call, m member) {
 	now := d.host.Now()
 	c.tries++
 	c.tried = append(c.tried, m)
 	d.out[m]++
-	d.thawing.left[m]--
 	g := c.group
 	g.gap, g.last = g.gap+0.05*(min(float64(max(now-g.last, ms/10)), 4*g.gap)-g.gap), now
 	number, counted, wait := 0, true, d.tooLong(c, m)
@@ -538,10 +546,9 @@
 	return may && d.host.Now()+wait+int64(c.group.took) <= c.deadline
 }
 
-// overdue deals with a call-out that has taken too long, and tells whether it still holds room of its
-// member. On a member that answers others quickly it is lost, not slow: guards against members and links
-// that lose a part of what they are sent. Could harm where a few RPCs take far longer than all others, by
-// crowding their member.
+// overdue deals with a call-out that has taken too long, and tells whether it still holds room of its member.
+// On a member that answers others quickly it is lost, not slow: guards against members and links that lose a
+// part of what they are sent. Could harm where a few RPCs take far longer than all others, by crowding.
 func (d *Driver) overdue(c *call, m member, number int) (holds bool) {
 	if c.started || !slices.Contains(c.out, number) {
 		return true
@@ -577,9 +584,7 @@
 
 func (d *Driver) next(c *call, m member, sent int64, r Result) {
 	if r.Final || r.Proof == OK {
-		if c.method.Need == NeedPrimary && r.Position != 0 && !d.store.Carried {
-			d.remember(c.Session, r.Position)
-		}
+		d.remember(c, r.Position)
 		d.end(c)
 		return
 	}
@@ -601,8 +606,10 @@
 }
 
 // remember keeps a session's last commit. Those of long ago are dropped, the newest of them holds for all.
-func (d *Driver) remember(session string, commit int64) {
-	d.tokens[session] = max(d.tokens[session], commit)
+func (d *Driver) remember(c *call, commit int64) {
+	if c.method.Need == NeedPrimary && !d.store.Carried {
+		d.tokens[c.Session] = max(d.tokens[c.Session], commit)
+	}
 	if now := d.host.Now(); now > d.swept+forgetAfter {
 		for _, t := range d.older {
 			d.floor = max(d.floor, t)
@@ -623,21 +630,6 @@
 	d.end(c)
 }
 
-func (d *Driver) end(c *call) {
-	c.ended = true
-	delete(d.calls, c.ID)
-	d.cancelOut(c, -1)
-}
-
-// cancelOut calls off what is out for an RPC, but for one call-out.
-func (d *Driver) cancelOut(c *call, but int) {
-	for _, n := range c.out {
-		if d.allowed.Cancel && n != but {
-			d.host.Cancel(c.ID, n)
-		}
-	}
-}
-
 // judge learns from a result how its member fares. A call-out that was not waited for long is no sign of it:
 // its client's time was short.
 func (d *Driver) judge(c *call, m member, r Result, long bool) {
@@ -646,23 +638,22 @@
 	case NoCause, Errored, Missed, Full:
 		d.alive(m)
 		d.sighted(m, r.Sighting, true)
-	case TimedOut, Cancelled:
-		if long {
+	case TimedOut, Cancelled, Reset:
+		if long || r.Cause == Reset {
 			d.strike(m, now)
-			d.teach(c, m, max(float64(r.Took), d.took[m]), false)
+			d.teach(m, max(float64(r.Took), d.took[m]), c.method.SoftDeadline, false)
 		}
 		if r.Cause == TimedOut && now-d.heard[m] >= d.due {
 			d.probe(m)
 		}
-	case Reset:
-		d.strike(m, now)
 	case NoConnect:
 		d.noConnection(m, now)
 	}
 	switch {
 	case r.Proof == OK:
 		d.lost[m], d.missed[m] = 0, false
-		d.teach(c, m, float64(r.Took), true)
+		d.answered[m] = r.Took
+		d.teach(m, float64(r.Took), c.method.SoftDeadline, true)
 	case r.Cause == Missed && c.isRead():
 		d.missed[m] = true
 	case r.Cause == Full:
@@ -674,11 +665,10 @@
 // teach learns how long a member takes, also from a call-out waited for in vain: guards against members so
 // crowded that none of their answers counts. Its room grows while answers come well in time, doubling on a
 // trickle, and shrinks while they strain the soft deadline: such work is better held than done in vain.
-func (d *Driver) teach(c *call, m member, took float64, ok bool) {
-	d.took[m] += 0.15 * (took - d.took[m])
-	d.strain[m] += 0.1 * (took/float64(c.method.SoftDeadline) - d.strain[m])
+func (d *Driver) teach(m member, took float64, soft int64, ok bool) {
+	d.learn(m, took, soft)
 	if ok {
-		c.group.took += 0.03 * (took - c.group.took)
+		d.of[m].took += 0.03 * (took - d.of[m].took)
 	}
 	switch {
 	case !ok && d.strain[m] > quick:
@@ -716,6 +706,15 @@
 	d.host.After(until-d.host.Now(), func() { d.wake(d.of[m]) })
 }
 
+// learn smooths a member's answer time and strain; what comes after a long time weighs more.
+func (d *Driver) learn(m member, took float64, soft int64) {
+	now := d.host.Now()
+	weight := min(0.5, max(0.1, float64(now-d.timed[m])/float64(4*sec)))
+	d.timed[m] = now
+	d.took[m] += min(1, 1.5*weight) * (took - d.took[m])
+	d.strain[m] += weight * (took/float64(soft) - d.strain[m])
+}
+
 // strike counts call-outs lost in a row. Guards against members that answer probes but finish nothing.
 func (d *Driver) strike(m member, now int64) {
 	d.lost[m]++
--- a/rules/state.go
+++ b/rules/state.go
@@ -32,6 +32,7 @@
 	told                         int64 // when the last news went to the fellow drivers
 	telling                      bool
 	untold                       []bool
+	answered                     []int64 // answer time not yet told
 }
 
 // health is how members answer this driver.
@@ -41,14 +42,14 @@
 	out, lost            []int     // call-outs out, and those lost in a row
 	first                float64   // room before answers teach better
 	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
+	timed                []int64   // when its answer time was last learned
 	scarce               int64     // until when connections are
 }
 
 // thawing is the budget of members that have just started.
 type thawing struct {
 	Thaw
-	started, fed []int64
-	left         []float64 // call-outs it may get now
+	started, fed []int64 // fed: when the last lot was drawn
 }
 
 type group struct {
@@ -72,7 +73,10 @@
 	tried                []member
 	risk                 int64 // when the first call-out that may have run was sent, 0 for none
 	riskZone             string
-	held, started, ended bool // started: its answer has begun to stream
+	held, started, ended bool   // started: its answer has begun to stream
+	looked               member // the replica probed for it last
+	looks                int
+	lot                  float64 // drawn once, for whether it may go to a strained primary
 }
 
 // Driver decides for one instance.
@@ -92,6 +96,7 @@
 	calls         map[RPCID]*call
 	tokens, older map[string]int64 // last commits of sessions by answers; those of the time before
 	swept, floor  int64            // when the oldest were dropped; the newest of them, which all must see
+	soft          int64            // mean soft deadline of the methods
 	taken         int64            // when the last RPC came
 	gap           float64          // smoothed time between RPCs
 }
@@ -107,7 +112,8 @@
 	d.index[l.Member] = m
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
-	for _, a := range []*[]int64{&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed} {
+	for _, a := range []*[]int64{&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed,
+		&d.answered, &d.timed} {
 		*a = append(*a, 0)
 	}
 	for _, a := range []*[]bool{&d.silent, &d.back, &d.untold, &d.missed, &d.kept} {
@@ -115,8 +121,41 @@
 	}
 	d.out, d.lost, d.role = append(d.out, 0), append(d.lost, 0), append(d.role, RoleUnknown)
 	d.room, d.took = append(d.room, room), append(d.took, g.took)
-	d.strain, d.thawing.left = append(d.strain, 0), append(d.thawing.left, 1)
+	d.strain = append(d.strain, 0)
 	return m
 }
 
+// isRead tells whether a replica may answer.
+func (c *call) isRead() bool { return c.method.Need != NeedPrimary && c.method.Need != NeedFresh }
+
+// last is when an answer is of use at the latest.
+func (c *call) last() int64 {
+	if c.method.LateUtility == 0 {
+		return min(c.deadline, c.soft)
+	}
+	return c.deadline
+}
+
+func (c *call) worth(now int64) float64 {
+	if now > c.soft {
+		return c.method.Utility * c.method.LateUtility
+	}
+	return c.method.Utility
+}
+
+func (d *Driver) end(c *call) {
+	c.ended = true
+	delete(d.calls, c.ID)
+	d.cancelOut(c, -1)
+}
+
+// cancelOut calls off what is out for an RPC, but for one call-out.
+func (d *Driver) cancelOut(c *call, but int) {
+	for _, n := range c.out {
+		if d.allowed.Cancel && n != but {
+			d.host.Cancel(c.ID, n)
+		}
+	}
+}
+
 func (d *Driver) logf(format string, args ...any) { d.host.Log(fmt.Sprintf(format, args...)) }
