--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,7 +127,7 @@
 		d.of[m].members = slices.DeleteFunc(d.of[m].members, func(o member) bool { return o == m })
 		return
 	}
-	if d.silent[m] || d.learned[m] == 0 || now-d.learned[m] >= d.due {
+	if d.silent[m] || d.old(m) {
 		d.probe(m)
 	}
 	wait := max(d.due, min(d.rarest, int64(d.gap*float64(d.keeping))))
@@ -139,6 +139,13 @@
 	d.host.After(wait+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
 }
 
+// old tells whether a member's position is so old that a probe could bring better: one that was far behind has
+// not caught up in less than half of that.
+func (d *Driver) old(m member) bool {
+	behind := min(d.learned[m]-d.pos[m], 4*sec)
+	return d.host.Now()-d.learned[m] >= max(d.due, behind/2)
+}
+
 func (d *Driver) probe(m member) {
 	now := d.host.Now()
 	if d.asking[m] != 0 {
@@ -349,7 +356,7 @@
 
 // unknown tells whether a probe could show that a replica will do for an RPC.
 func (d *Driver) unknown(m member, c *call) bool {
-	return c.looks < mostLooks && c.isRead() && d.allowed.Probes && d.host.Now()-d.learned[m] >= d.due
+	return c.looks < mostLooks && c.isRead() && d.allowed.Probes && d.old(m)
 }
 
 // windowed picks at random among the passers whose expected answer time lies in the latency window; one that
@@ -651,13 +658,14 @@
 	}
 	switch {
 	case r.Proof == OK:
-		d.lost[m], d.missed[m] = 0, false
+		d.refused[m] = 0
+		d.lost[m], d.missed[m] = 0, d.missed[m] && c.method.Need == NeedAny
 		d.answered[m] = r.Took
 		d.teach(m, float64(r.Took), c.method.SoftDeadline, true)
 	case r.Cause == Missed && c.isRead():
 		d.missed[m] = true
 	case r.Cause == Full:
-		d.rest(m, now+fullRest)
+		d.rest(m)
 		d.room[m] = max(1, min(d.room[m], float64(d.out[m]+1))*0.8)
 	}
 }
@@ -697,13 +705,16 @@
 		d.logf("connections scarce member=%d unheard_ms=%d", d.ids[m], (now-d.heard[m])/ms)
 	}
 	d.scarce = now + scarceFor
-	d.rest(m, now+fullRest/2+d.rng.Int63n(fullRest))
+	d.rest(m)
 }
 
-// rest leaves a member alone for a moment.
-func (d *Driver) rest(m member, until int64) {
-	d.aside[m] = max(d.aside[m], until)
-	d.host.After(until-d.host.Now(), func() { d.wake(d.of[m]) })
+// rest leaves a member that refused work alone for a moment, the longer the more often it did so in a row: many
+// drivers that come back at once would all be refused again.
+func (d *Driver) rest(m member) {
+	d.refused[m] = min(d.refused[m]+1, 5)
+	wait := fullRest/2<<d.refused[m]/2 + d.rng.Int63n(fullRest/2<<d.refused[m])
+	d.aside[m] = max(d.aside[m], d.host.Now()+wait)
+	d.host.After(wait, func() { d.wake(d.of[m]) })
 }
 
 // learn smooths a member's answer time and strain; what comes after a long time weighs more.
--- a/rules/state.go
+++ b/rules/state.go
@@ -39,7 +39,7 @@
 type health struct {
 	heard, asking, aside []int64   // last answer; the unanswered probe's time; set aside until
 	silent, back         []bool    // does not answer; on a trickle that doubles
-	out, lost            []int     // call-outs out, and those lost in a row
+	out, lost, refused   []int     // call-outs out, and those lost and refused in a row
 	first                float64   // room before answers teach better
 	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
 	timed                []int64   // when its answer time was last learned
@@ -121,7 +121,7 @@
 	}
 	d.out, d.lost, d.role = append(d.out, 0), append(d.lost, 0), append(d.role, RoleUnknown)
 	d.room, d.took = append(d.room, room), append(d.took, g.took)
-	d.strain = append(d.strain, 0)
+	d.strain, d.refused = append(d.strain, 0), append(d.refused, 0)
 	return m
 }
 
