--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -345,6 +345,8 @@
 		require.LessOrEqual(p.t, p.sent[p.number(w[1])], p.number(high), p.at)
 	case "watches":
 		require.Equal(p.t, p.number(w[1]), p.watches, p.at)
+	case "probes":
+		require.Equal(p.t, p.number(w[1]), p.probes, p.at)
 	case "closes":
 		require.Equal(p.t, p.number(w[1]), p.closes, p.at)
 	case "tells":
