--- a/rules/rules.go
+++ b/rules/rules.go
@@ -143,7 +143,7 @@
 // not caught up in less than half of that.
 func (d *Driver) old(m member) bool {
 	behind := min(d.learned[m]-d.pos[m], 4*sec)
-	return d.host.Now()-d.learned[m] >= max(d.due, behind/2)
+	return d.learned[m] == 0 || d.host.Now()-d.learned[m] >= max(d.due, behind/2)
 }
 
 func (d *Driver) probe(m member) {
