--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,19 +49,19 @@
 		health:  health{first: max(1, firstRoom/float64(max(1, crew.Drivers)))},
 		thawing: thawing{Thaw: thaw}, spare: 5, success: 0.5, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
-	d.rarest = rarestProbe
+	half := rarestProbe // of the smallest bound
 	for _, m := range methods {
 		d.soft += m.SoftDeadline / int64(len(methods))
 		if m.Need == NeedBounded {
-			d.rarest = min(d.rarest, m.Bound/2)
+			half = min(half, m.Bound/2)
 		}
 	}
-	d.due = min(longestProbe, max(shortestProbe, d.rarest))
-	if crew.News > 0 { // the fellow drivers' probes serve as well
-		d.rarest = rarestProbe
+	d.due = min(longestProbe, max(shortestProbe, half))
+	d.rarest = min(rarestProbe, d.due*int64(max(1, crew.Drivers/2)))
+	if crew.News == 0 { // else the fellow drivers' probes serve as well
+		d.rarest = min(d.rarest, half)
 	}
-	d.rarest = min(d.rarest, d.due*int64(max(1, crew.Drivers/2)))
-	d.interval, d.taken, d.gap = d.due/2, h.Now(), float64(firstGap)
+	d.interval, d.begun, d.taken, d.gap = d.due/2, h.Now(), h.Now(), float64(firstGap)
 	return d
 }
 
@@ -127,20 +127,18 @@
 		d.of[m].members = slices.DeleteFunc(d.of[m].members, func(o member) bool { return o == m })
 		return
 	}
-	if d.silent[m] || d.old(m) {
+	if (d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly) && (d.silent[m] || d.old(m)) {
 		d.probe(m)
 	}
 	wait := max(d.due, min(d.rarest, int64(d.gap*float64(d.keeping))))
-	if d.state[m] == Draining || d.state[m] == Gone && !d.notice.DrainOnly {
-		wait = max(wait, 4*sec)
-	} else if age := now - d.learned[m]; age < d.due && d.asking[m] == 0 {
+	if age := now - d.learned[m]; age < d.due && d.asking[m] == 0 {
 		wait -= age
 	}
 	d.host.After(wait+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
 }
 
-// old tells whether a member's position is so old that a probe could bring better: one that was far behind has
-// not caught up in less than half of that.
+// old tells whether a member's position is so old that a probe could bring better: one that was far behind
+// has not caught up in less than half of that.
 func (d *Driver) old(m member) bool {
 	behind := min(d.learned[m]-d.pos[m], 4*sec)
 	return d.learned[m] == 0 || d.host.Now()-d.learned[m] >= max(d.due, behind/2)
@@ -226,9 +224,8 @@
 	now := d.host.Now()
 	if d.silent[m] {
 		d.silent[m] = false
-		gap := now - d.heard[m]
-		d.logf("answers again member=%d after_ms=%d", d.ids[m], gap/ms)
-		if gap > longHush {
+		d.logf("answers again member=%d after_ms=%d", d.ids[m], (now-d.heard[m])/ms)
+		if now-d.heard[m] > longHush {
 			d.room[m], d.back[m] = 1, true
 			d.started[m] = max(d.started[m], now-hush)
 		}
@@ -317,11 +314,11 @@
 			passers = append(passers, m)
 		}
 	}
-	share, again := 1.0, true
+	share := 1.0
 	if c.isRead() {
-		share, again = readShare, p != nobody && !slices.Contains(c.tried, p) && d.spills(p, c)
+		share = readShare
 	}
-	primary := p != nobody && again && d.fits(p, c, share)
+	primary := p != nobody && d.spills(p, c) && d.fits(p, c, share)
 	for primary || len(passers) > 0 {
 		m := d.windowed(passers, c.looked)
 		if m == nobody || primary && d.cost(p)*jammed < d.cost(m) {
@@ -340,18 +337,18 @@
 	return nobody
 }
 
-// spills tells whether a read may go to the primary. One of many drivers cannot tell by its room when that
-// has none for reads: the more it is strained the fewer go, by lot, so that all drivers do not turn at once.
+// spills tells whether an RPC may go to the primary, as all writes may. One of many drivers cannot tell by
+// its room when it has none for reads: the more it is strained the fewer go, by lot, lest all turn at once.
 func (d *Driver) spills(p member, c *call) bool {
-	return d.first > 1 || d.strain[p] < quick+c.lot*(2*strained-quick)
+	atEase := d.first > 1 || d.strain[p] < quick+c.lot*(2*strained-quick)
+	return !c.isRead() || !slices.Contains(c.tried, p) && atEase
 }
 
 // fits tells whether a member may get a call-out of an RPC: it has room, and is expected to answer while that
 // is of use. Guards against work in vain for clients of little patience, which would keep a busy member busy.
 func (d *Driver) fits(m member, c *call, share float64) bool {
 	inTime := d.host.Now()+int64(d.took[m]) <= c.last()
-	room := float64(d.out[m]+1) <= max(1, d.room[m]*share)
-	return inTime && room && d.usable(m) && d.mayRepeat(c, m)
+	return inTime && float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.usable(m) && d.mayRepeat(c, m)
 }
 
 // unknown tells whether a probe could show that a replica will do for an RPC.
@@ -403,20 +400,17 @@
 		}
 	}
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	missed := min(savedUp, float64(now-max(d.fed[m], d.started[m]))/g.gap) // call-outs since the last lot
+	span := min(savedUp*g.gap, float64(now-max(d.fed[m], d.started[m]))) // since the last lot
 	d.fed[m] = now
-	return d.rng.Float64() < missed*min(2, able*d.Multiple*0.8)/mates
+	rate := max(1/(g.gap*mates), float64(d.borne[m])/float64(max(10*sec, now-d.begun))) // or what it bore
+	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*0.8)
 }
 
 // mayRepeat keeps the rule on effects for a call-out that would follow others.
 func (d *Driver) mayRepeat(c *call, m member) bool {
-	if c.risk == 0 || c.method.Effect == Idempotent {
-		return true
-	}
-	if c.method.Effect == NonIdempotent || d.host.Now()-c.risk >= c.method.Window {
-		return false
-	}
-	return c.method.Scope != ScopeZone || d.zone[m] == c.riskZone
+	inScope := c.method.Scope != ScopeZone || d.zone[m] == c.riskZone
+	dropped := c.method.Effect == Tokened && d.host.Now()-c.risk < c.method.Window && inScope
+	return c.risk == 0 || c.method.Effect == Idempotent || dropped
 }
 
 // Take accepts an RPC; it gets exactly one final answer.
@@ -424,8 +418,7 @@
 	now := d.host.Now()
 	d.gap += 0.02 * (float64(now-d.taken) - d.gap)
 	d.taken = now
-	method := &d.methods[rpc.Method]
-	g := d.groups[rpc.Group]
+	method, g := &d.methods[rpc.Method], d.groups[rpc.Group]
 	if g == nil { // the list names no member of it
 		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
 		return
@@ -546,8 +539,7 @@
 	return max(int64(4*d.took[m]), c.method.SoftDeadline*6/10)
 }
 
-// another tells whether a further call-out of an idempotent read may be made after a wait, and could be in
-// time.
+// another tells whether a further call-out of an idempotent read may be made after a wait, and be in time.
 func (d *Driver) another(c *call, wait int64) bool {
 	may := c.method.Effect == Idempotent && c.isRead() && c.tries < d.allowed.CallOuts && d.spare >= 1
 	return may && d.host.Now()+wait+int64(c.group.took) <= c.deadline
@@ -658,9 +650,10 @@
 	}
 	switch {
 	case r.Proof == OK:
-		d.refused[m] = 0
-		d.lost[m], d.missed[m] = 0, d.missed[m] && c.method.Need == NeedAny
-		d.answered[m] = r.Took
+		d.borne[m]++
+		d.lost[m], d.refused[m], d.answered[m] = 0, 0, r.Took
+		d.missed[m] = d.missed[m] && c.method.Need == NeedAny
+		c.group.took += 0.03 * (float64(r.Took) - c.group.took)
 		d.teach(m, float64(r.Took), c.method.SoftDeadline, true)
 	case r.Cause == Missed && c.isRead():
 		d.missed[m] = true
@@ -675,9 +668,6 @@
 // trickle, and shrinks while they strain the soft deadline: such work is better held than done in vain.
 func (d *Driver) teach(m member, took float64, soft int64, ok bool) {
 	d.learn(m, took, soft)
-	if ok {
-		d.of[m].took += 0.03 * (took - d.of[m].took)
-	}
 	switch {
 	case !ok && d.strain[m] > quick:
 		d.room[m] = max(1, d.room[m]*0.85)
@@ -708,8 +698,8 @@
 	d.rest(m)
 }
 
-// rest leaves a member that refused work alone for a moment, the longer the more often it did so in a row: many
-// drivers that come back at once would all be refused again.
+// rest leaves a member that refused work alone for a moment, the longer the more often it did so in a row:
+// many drivers that come back at once would all be refused again.
 func (d *Driver) rest(m member) {
 	d.refused[m] = min(d.refused[m]+1, 5)
 	wait := fullRest/2<<d.refused[m]/2 + d.rng.Int63n(fullRest/2<<d.refused[m])
--- a/rules/state.go
+++ b/rules/state.go
@@ -49,7 +49,7 @@
 // thawing is the budget of members that have just started.
 type thawing struct {
 	Thaw
-	started, fed []int64 // fed: when the last lot was drawn
+	started, fed, borne []int64 // fed: when the last lot was drawn; borne: RPCs that were ok
 }
 
 type group struct {
@@ -97,7 +97,7 @@
 	tokens, older map[string]int64 // last commits of sessions by answers; those of the time before
 	swept, floor  int64            // when the oldest were dropped; the newest of them, which all must see
 	soft          int64            // mean soft deadline of the methods
-	taken         int64            // when the last RPC came
+	begun, taken  int64            // when this driver began, and when its last RPC came
 	gap           float64          // smoothed time between RPCs
 }
 
@@ -113,7 +113,7 @@
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
 	for _, a := range []*[]int64{&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed,
-		&d.answered, &d.timed} {
+		&d.answered, &d.timed, &d.borne} {
 		*a = append(*a, 0)
 	}
 	for _, a := range []*[]bool{&d.silent, &d.back, &d.untold, &d.missed, &d.kept} {
