Probes ending in errors come from members that live; silence counts from when it began

Drivers took them for silent, then, as probes come up to 1.5 s apart there, for restarted, and sent everything to the rest, with clients' repeats on top. - An answered probe, whatever the answer, is life; errors of RPCs in a row set a member aside like lost ones. - Silence lasts from its first unanswered probe, not from the last answer; without news it is looked at again soon.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -140,8 +140,7 @@
 // old tells whether a member's position is so old that a probe could bring better: one that was far behind
 // has not caught up in less than half of that.
 func (d *Driver) old(m member) bool {
-	behind := min(d.learned[m]-d.pos[m], 4*sec)
-	return d.learned[m] == 0 || d.host.Now()-d.learned[m] >= max(d.due, behind/2)
+	return d.learned[m] == 0 || d.host.Now()-d.learned[m] >= max(d.due, min(d.learned[m]-d.pos[m], 4*sec)/2)
 }
 
 func (d *Driver) probe(m member) {
@@ -160,11 +159,14 @@
 
 func (d *Driver) probed(m member, r ProbeResult) {
 	d.asking[m] = 0
-	if r.Cause == NoCause || r.Cause == Full { // a member too busy for probes is alive
+	if r.Cause == NoCause || r.Cause == Full || r.Cause == Errored { // whatever it answers it is alive
 		d.alive(m)
 		d.sighted(m, r.Sighting, false)
 	} else {
 		d.hushed(m)
+		if d.crew.News == 0 { // look again soon: it may have stood still for a moment
+			d.host.After(max(d.due, d.host.Now()-d.since[m]), func() { d.probe(m) })
+		}
 	}
 	d.wake(d.of[m])
 }
@@ -215,7 +217,7 @@
 // lost on it before it answers again. Could harm where only probes get lost.
 func (d *Driver) hushed(m member) {
 	if !d.silent[m] {
-		d.silent[m] = true
+		d.silent[m], d.since[m] = true, d.host.Now()-hush
 		d.logf("silent member=%d unheard_ms=%d out=%d", d.ids[m], (d.host.Now()-d.heard[m])/ms, d.out[m])
 	}
 }
@@ -224,8 +226,8 @@
 	now := d.host.Now()
 	if d.silent[m] {
 		d.silent[m] = false
-		d.logf("answers again member=%d after_ms=%d", d.ids[m], (now-d.heard[m])/ms)
-		if now-d.heard[m] > longHush {
+		d.logf("answers again member=%d after_ms=%d", d.ids[m], (now-d.since[m])/ms)
+		if now-d.since[m] > longHush {
 			d.room[m], d.back[m] = 1, true
 			d.started[m] = max(d.started[m], now-hush)
 		}
@@ -637,18 +639,16 @@
 	case NoCause, Errored, Missed, Full:
 		d.alive(m)
 		d.sighted(m, r.Sighting, true)
-	case TimedOut, Cancelled, Reset:
-		if long || r.Cause == Reset {
-			d.strike(m, now)
-			d.teach(m, max(float64(r.Took), d.took[m]), c.method.SoftDeadline, false)
-		}
-		if r.Cause == TimedOut && now-d.heard[m] >= d.due {
-			d.probe(m)
-		}
 	case NoConnect:
 		d.noConnection(m, now)
 	}
+	if r.Cause == TimedOut && now-d.heard[m] >= d.due {
+		d.probe(m)
+	}
 	switch {
+	case r.Cause == Errored || r.Cause == Reset || long && (r.Cause == TimedOut || r.Cause == Cancelled):
+		d.strike(m, now)
+		d.teach(m, max(float64(r.Took), d.took[m]), c.method.SoftDeadline, false)
 	case r.Proof == OK:
 		d.borne[m]++
 		d.lost[m], d.refused[m], d.answered[m] = 0, 0, r.Took
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -112,6 +112,8 @@
 		takes, r.Cause = int64(250*time.Millisecond), rules.TimedOut
 	case "busy":
 		r.Cause = rules.Full
+	case "faulty":
+		r.Cause = rules.Errored
 	case "down":
 		r.Cause = rules.NoConnect
 	default:
@@ -179,7 +181,11 @@
 	case "result":
 		p.result(w[1:])
 	case "told":
-		p.d.Told([]rules.News{{Member: rules.MemberID(p.number(w[1])), Sighting: p.sighting(w[2:])}})
+		n := rules.News{Member: rules.MemberID(p.number(w[1])), Sighting: p.sighting(w[2:])}
+		if _, took, slow := strings.Cut(w[len(w)-1], "took="); slow {
+			n.Took = p.span(took)
+		}
+		p.d.Told([]rules.News{n})
 	case "unlisted":
 		p.d.ListFailed()
 	default:
@@ -231,7 +237,9 @@
 		case "drain-only":
 			p.notice.DrainOnly = true
 		case "news":
-			p.crew = rules.Crew{Drivers: 2, News: p.number(value)}
+			p.crew.News = p.number(value)
+		case "crew":
+			p.crew.Drivers = p.number(value)
 		case "cold":
 			p.thaw = rules.Thaw{Share: 0.2, WarmAfter: p.span(value), Multiple: 2}
 		default:
@@ -306,6 +314,7 @@
 	ends := map[string]rules.Result{
 		"ok":            {Proof: rules.OK, Final: true},
 		"miss":          {Proof: rules.NeverRan, Cause: rules.Missed},
+		"error":         {Proof: rules.MayHaveRun, Cause: rules.Errored},
 		"full":          {Proof: rules.NeverRan, Cause: rules.Full},
 		"timeout":       {Proof: rules.MayHaveRun, Cause: rules.TimedOut},
 		"no-connection": {Proof: rules.NeverRan, Cause: rules.NoConnect},
@@ -343,12 +352,9 @@
 		low, high, _ := strings.Cut(w[2], "..")
 		require.GreaterOrEqual(p.t, p.sent[p.number(w[1])], p.number(low), p.at)
 		require.LessOrEqual(p.t, p.sent[p.number(w[1])], p.number(high), p.at)
-	case "watches":
-		require.Equal(p.t, p.number(w[1]), p.watches, p.at)
-	case "probes":
-		require.Equal(p.t, p.number(w[1]), p.probes, p.at)
-	case "closes":
-		require.Equal(p.t, p.number(w[1]), p.closes, p.at)
+	case "watches", "probes", "closes": // so many so far
+		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes}
+		require.Equal(p.t, p.number(w[1]), counts[w[0]], p.at)
 	case "tells":
 		require.True(p.t, slices.ContainsFunc(p.told, func(n rules.News) bool { return int(n.Member) == p.number(w[1]) }), p.at)
 	default:
--- a/rules/state.go
+++ b/rules/state.go
@@ -42,6 +42,7 @@
 	out, lost, refused   []int     // call-outs out, and those lost and refused in a row
 	first                float64   // room before answers teach better
 	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
+	since                []int64   // when it fell silent
 	timed                []int64   // when its answer time was last learned
 	scarce               int64     // until when connections are
 }
@@ -113,7 +114,7 @@
 	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
 	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
 	for _, a := range []*[]int64{&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed,
-		&d.answered, &d.timed, &d.borne} {
+		&d.answered, &d.timed, &d.borne, &d.since} {
 		*a = append(*a, 0)
 	}
 	for _, a := range []*[]bool{&d.silent, &d.back, &d.untold, &d.missed, &d.kept} {
