--- a/rules/rules.go
+++ b/rules/rules.go
@@ -311,8 +311,9 @@
 func (d *Driver) pick(c *call) member {
 	g, p := c.group, c.group.primary
 	var passers []member
+	look := c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
-		if m != p && (d.fresh(m, c) || d.unknown(m, c)) && d.fits(m, c, 1) && !slices.Contains(c.tried, m) {
+		if m != p && (d.fresh(m, c) || look && d.old(m)) && d.fits(m, c, 1) && !slices.Contains(c.tried, m) {
 			passers = append(passers, m)
 		}
 	}
@@ -353,11 +354,6 @@
 	return inTime && float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.usable(m) && d.mayRepeat(c, m)
 }
 
-// unknown tells whether a probe could show that a replica will do for an RPC.
-func (d *Driver) unknown(m member, c *call) bool {
-	return c.looks < mostLooks && c.isRead() && d.allowed.Probes && d.old(m)
-}
-
 // windowed picks at random among the passers whose expected answer time lies in the latency window; one that
 // was looked at is the pick already.
 func (d *Driver) windowed(passers []member, looked member) member {
@@ -648,7 +644,9 @@
 	switch {
 	case r.Cause == Errored || r.Cause == Reset || long && (r.Cause == TimedOut || r.Cause == Cancelled):
 		d.strike(m, now)
-		d.teach(m, max(float64(r.Took), d.took[m]), c.method.SoftDeadline, false)
+		if long {
+			d.teach(m, max(float64(r.Took), d.took[m]), c.method.SoftDeadline, false)
+		}
 	case r.Proof == OK:
 		d.borne[m]++
 		d.lost[m], d.refused[m], d.answered[m] = 0, 0, r.Took
