--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,11 +127,11 @@
 		d.of[m].members = slices.DeleteFunc(d.of[m].members, func(o member) bool { return o == m })
 		return
 	}
-	if (d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly) && (d.silent[m] || d.old(m)) {
+	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-d.learned[m]
+	here := d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly
+	if here && (d.silent[m] || d.learned[m] == 0 || d.old(m) && age >= min(wait, 2*d.due)) {
 		d.probe(m)
-	}
-	wait := max(d.due, min(d.rarest, int64(d.gap*float64(d.keeping))))
-	if age := now - d.learned[m]; age < d.due && d.asking[m] == 0 {
+	} else if age < d.due {
 		wait -= age
 	}
 	d.host.After(wait+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
@@ -305,18 +305,25 @@
 	return false
 }
 
-// pick names the member for the next call-out of an RPC, or nobody if it has to wait. A replica of which the
-// position is old may be chosen as if it passed: it is probed first. Guards drivers that see little against
-// crowding the primary and the few members that others told of. Could harm where probes are dear.
+// pick names the member for the next call-out of an RPC, or nobody if it has to wait. Where none passes, one
+// of many drivers may choose a replica whose position is old: it is probed first. Guards the primary against
+// reads of drivers that see little. Could harm where probes are dear.
 func (d *Driver) pick(c *call) member {
 	g, p := c.group, c.group.primary
-	var passers []member
-	look := c.looks < mostLooks && c.isRead() && d.allowed.Probes
+	var passers, unknown []member
+	look := d.first <= 1 && c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
-		if m != p && (d.fresh(m, c) || look && d.old(m)) && d.fits(m, c, 1) && !slices.Contains(c.tried, m) {
+		switch {
+		case m == p || !d.fits(m, c, 1) || slices.Contains(c.tried, m):
+		case d.fresh(m, c):
 			passers = append(passers, m)
+		case look && d.old(m):
+			unknown = append(unknown, m)
 		}
 	}
+	if len(passers) == 0 {
+		passers = unknown
+	}
 	share := 1.0
 	if c.isRead() {
 		share = readShare
@@ -344,7 +351,7 @@
 // its room when it has none for reads: the more it is strained the fewer go, by lot, lest all turn at once.
 func (d *Driver) spills(p member, c *call) bool {
 	atEase := d.first > 1 || d.strain[p] < quick+c.lot*(2*strained-quick)
-	return !c.isRead() || !slices.Contains(c.tried, p) && atEase
+	return !c.isRead() || atEase && !slices.Contains(c.tried, p)
 }
 
 // fits tells whether a member may get a call-out of an RPC: it has room, and is expected to answer while that
@@ -438,13 +445,6 @@
 	d.step(c)
 }
 
-// Left hears that the client of an RPC has gone.
-func (d *Driver) Left(id RPCID) {
-	if c := d.calls[id]; c != nil {
-		d.end(c)
-	}
-}
-
 // step makes the next call-out of an RPC, or holds it.
 func (d *Driver) step(c *call) {
 	if m := d.pick(c); m != nobody {
--- a/rules/state.go
+++ b/rules/state.go
@@ -144,6 +144,13 @@
 	return c.method.Utility
 }
 
+// Left hears that the client of an RPC has gone.
+func (d *Driver) Left(id RPCID) {
+	if c := d.calls[id]; c != nil {
+		d.end(c)
+	}
+}
+
 func (d *Driver) end(c *call) {
 	c.ended = true
 	delete(d.calls, c.ID)
