--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,7 +33,7 @@
 	firstGap      = 2 * sec  // time between call-outs of a group to expect
 	firstRoom     = 9.0      // call-outs of all drivers that a member may hold, before its answers teach better
 	mostLooks     = 2        // replicas probed for one read
-	savedUp       = 3.0      // call-outs of a group for which a cold member's share is saved up
+	savedUp       = 2.0      // call-outs of a group for which a cold member's share is saved up
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
@@ -314,7 +314,7 @@
 	look := d.first <= 1 && c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
 		switch {
-		case m == p || !d.fits(m, c, 1) || slices.Contains(c.tried, m):
+		case m == p || !d.store.Guarded && !d.atEase(m, c) || !d.fits(m, c, 1) || slices.Contains(c.tried, m):
 		case d.fresh(m, c):
 			passers = append(passers, m)
 		case look && d.old(m):
@@ -324,11 +324,11 @@
 	if len(passers) == 0 {
 		passers = unknown
 	}
-	share := 1.0
+	share, again := 1.0, true
 	if c.isRead() {
-		share = readShare
+		share, again = readShare, !slices.Contains(c.tried, p)
 	}
-	primary := p != nobody && d.spills(p, c) && d.fits(p, c, share)
+	primary := p != nobody && again && d.atEase(p, c) && d.fits(p, c, share)
 	for primary || len(passers) > 0 {
 		m := d.windowed(passers, c.looked)
 		if m == nobody || primary && d.cost(p)*jammed < d.cost(m) {
@@ -347,11 +347,12 @@
 	return nobody
 }
 
-// spills tells whether an RPC may go to the primary, as all writes may. One of many drivers cannot tell by
-// its room when it has none for reads: the more it is strained the fewer go, by lot, lest all turn at once.
-func (d *Driver) spills(p member, c *call) bool {
-	atEase := d.first > 1 || d.strain[p] < quick+c.lot*(2*strained-quick)
-	return !c.isRead() || atEase && !slices.Contains(c.tried, p)
+// atEase tells whether a member has time for a read. One of many drivers cannot tell by its room: the more it
+// is strained the fewer reads go, by lot, lest all drivers turn at once; strain not seen for long fades.
+// Guards the primary, and replicas that answer whatever they hold, which fall behind when they are crowded.
+func (d *Driver) atEase(m member, c *call) bool {
+	age := float64(d.host.Now()-d.timed[m]) / float64(sec)
+	return d.first > 1 || !c.isRead() || d.strain[m] < (quick+c.lot*(2*strained-quick))*(1+age)
 }
 
 // fits tells whether a member may get a call-out of an RPC: it has room, and is expected to answer while that
@@ -421,8 +422,7 @@
 // Take accepts an RPC; it gets exactly one final answer.
 func (d *Driver) Take(rpc RPC) {
 	now := d.host.Now()
-	d.gap += 0.02 * (float64(now-d.taken) - d.gap)
-	d.taken = now
+	d.gap, d.taken = d.gap+0.02*(float64(now-d.taken)-d.gap), now
 	method, g := &d.methods[rpc.Method], d.groups[rpc.Group]
 	if g == nil { // the list names no member of it
 		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
