Cold members: those that bore the traffic count as mates, half the multiple for one of many drivers

A driver of many smooths its traffic over 20 s; the members that had borne it were gone, so that what was left counted as the mean of two. Members heard within 20 call-outs count now, and with nine drivers or more half of the multiple is the budget, as lots vary.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -390,18 +390,18 @@
 	return met && !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
-// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, as a share
-// of this driver's mean traffic a member. So it holds for all drivers together without their agreement. Lots
-// are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
+// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, half with many
+// drivers, as a share of this driver's mean traffic a member. So it holds for all together without agreement.
+// Lots are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
 	age := now - d.started[m]
 	if d.started[m] == 0 || age >= d.WarmAfter {
 		return true
 	}
-	g, mates := d.of[m], 1.0 // besides those that have left, lest successors shrink each other's share
+	g, mates := d.of[m], 1.0 // those that bore the mean traffic: members that left long ago did not
 	for _, o := range g.members {
-		if o != m && d.state[o] == Healthy {
+		if o != m && (d.state[o] == Healthy || float64(now-d.heard[o]) < 20*g.gap) {
 			mates++
 		}
 	}
@@ -409,7 +409,7 @@
 	span := min(savedUp*g.gap, float64(now-max(d.fed[m], d.started[m]))) // since the last lot
 	d.fed[m] = now
 	rate := max(1/(g.gap*mates), float64(d.borne[m])/float64(max(10*sec, now-d.begun))) // or what it bore
-	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*0.8)
+	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, d.first/2))
 }
 
 // mayRepeat keeps the rule on effects for a call-out that would follow others.
