--- a/rules/rules.go
+++ b/rules/rules.go
@@ -390,8 +390,8 @@
 	return met && !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
-// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, half with many
-// drivers, as a share of this driver's mean traffic a member. So it holds for all together without agreement.
+// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, half with
+// many drivers, as a share of its driver's mean traffic a member. So it holds for all without agreement.
 // Lots are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
