--- a/rules/rules.go
+++ b/rules/rules.go
@@ -390,7 +390,7 @@
 	return met && !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
-// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, half with
+// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, 0.7 with
 // many drivers, as a share of its driver's mean traffic a member. So it holds for all without agreement.
 // Lots are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
 func (d *Driver) thawed(m member) bool {
@@ -409,7 +409,7 @@
 	span := min(savedUp*g.gap, float64(now-max(d.fed[m], d.started[m]))) // since the last lot
 	d.fed[m] = now
 	rate := max(1/(g.gap*mates), float64(d.borne[m])/float64(max(10*sec, now-d.begun))) // or what it bore
-	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, d.first/2))
+	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
 // mayRepeat keeps the rule on effects for a call-out that would follow others.
