A crew of no drivers is malformed: one plain line, not a panic

Where drivers share news the first probes are spread over the crew, so a fleetSize below one ended in a panic of the random source. The adapter now says what is wrong, as for other figures out of range; the module is untouched.

--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -208,6 +208,9 @@
 
 func (f *fields) crew() rules.Crew {
 	c := rules.Crew{Drivers: int(f.integerOr("fleetSize", 1))}
+	if c.Drivers < 1 {
+		f.wrong("fleetSize=%d is out of range", c.Drivers)
+	}
 	if f.boolOr("limits.peerMessages", false) {
 		c.News = messageBytes / newsBytes
 	}
--- a/internal/simwire/news.go
+++ b/internal/simwire/news.go
@@ -14,7 +14,7 @@
 	milli        = int64(1_000_000)
 )
 
-// Tell writes, for each of the news, the member four times the position in milliseconds plus the role, and the
+// Tell writes, for each of the news, the member, four times the position in milliseconds plus the role, and the
 // answer time in milliseconds.
 func (d *driver) Tell(news []rules.News) {
 	var content []byte
--- a/internal/simwire/serve_test.go
+++ b/internal/simwire/serve_test.go
@@ -44,12 +44,13 @@
 		start + "HELLO\twho=3\n":           `line 6: unknown message "HELLO"`,
 		start + "REQUEST\twho=4\n":         "line 6: REQUEST: who=4 is not running",
 		start + "REQUEST\twho=3\txid=-1\n": "line 6: REQUEST: tierClass is missing",
-		start + "TIMEOUT_FIRED\twho=3\thandle=x\n":                                       `line 6: TIMEOUT_FIRED: handle="x" is not a whole number`,
-		start + "RESOLVED\twho=3\txid=1\tn=0\toutcome=600\n":                             `line 6: RESOLVED: outcome="600" is not known`,
-		start + "VIEW\twho=3\tmode=FULL\tslot=5\n":                                       "line 6: VIEW: slot=5 holds no list",
-		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nNEW_INSTANCE\twho=1\tsalt=1\n":                   "line 2: NEW_INSTANCE: classes.count is missing",
-		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nPAGE\tslot=0\telements=2\nM\tmember=1\nEOB\n":    "line 3: M: stageState is missing",
-		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nNEW_INSTANCE\twho=1\tsalt=1\tclasses.count=-2\n": "line 2: NEW_INSTANCE: classes.count=-2 is out of range",
+		start + "TIMEOUT_FIRED\twho=3\thandle=x\n":                                                   `line 6: TIMEOUT_FIRED: handle="x" is not a whole number`,
+		start + "RESOLVED\twho=3\txid=1\tn=0\toutcome=600\n":                                         `line 6: RESOLVED: outcome="600" is not known`,
+		start + "VIEW\twho=3\tmode=FULL\tslot=5\n":                                                   "line 6: VIEW: slot=5 holds no list",
+		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nNEW_INSTANCE\twho=1\tsalt=1\n":                               "line 2: NEW_INSTANCE: classes.count is missing",
+		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nPAGE\tslot=0\telements=2\nM\tmember=1\nEOB\n":                "line 3: M: stageState is missing",
+		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nNEW_INSTANCE\twho=1\tsalt=1\tclasses.count=-2\n":             "line 2: NEW_INSTANCE: classes.count=-2 is out of range",
+		"BEGIN_BATCH\tsimTimeUs=1\tn=1\nNEW_INSTANCE\twho=1\tsalt=1\tclasses.count=0\tfleetSize=0\n": "line 2: NEW_INSTANCE: fleetSize=0 is out of range",
 	} {
 		_, err := serve(text)
 		require.ErrorContains(t, err, want)
