--- /dev/null
+++ b/internal/briefing/start.go
@@ -0,0 +1,106 @@
+package briefing
+
+import (
+	"fmt"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/rules"
+)
+
+var (
+	needs = map[string]rules.Need{"loose": rules.NeedAny, "recent": rules.NeedBounded, "own_writes": rules.NeedSession,
+		"latest": rules.NeedFresh, "update": rules.NeedPrimary}
+	effects = map[string]rules.Effect{"repeatable": rules.Idempotent, "by_key": rules.Tokened, "once": rules.NonIdempotent}
+	scopes  = map[string]rules.Scope{"": rules.ScopeGroup, "cell": rules.ScopeGroup, "zone": rules.ScopeZone, "all": rules.ScopeAll}
+	guards  = map[string]bool{"": false, "none": false, "reject": true, "hold": true}
+	asks    = map[string]bool{"": false, "automatic": false, "subscribe": true}
+)
+
+func (p *Parts) Methods() []rules.Method {
+	read := p.List("extra.readLevel")
+	bounds := p.List("extra.maxAgeUs")
+	count := p.Integer("classes.count")
+	if count < 0 || count > 10_000 {
+		p.Wrong("classes.count=%d is out of range", count)
+		return nil
+	}
+	methods := make([]rules.Method, count)
+	for i := range methods {
+		at := fmt.Sprintf("classes.%d.", i)
+		m := &methods[i]
+		m.Name = p.Text(at + "name")
+		m.Effect = Choice(p, at+"effect", p.Text(at+"effect"), effects)
+		m.Scope = Choice(p, at+"keyScope", p.At(at+"keyScope"), scopes)
+		m.Window = p.Time(at + "windowUs")
+		m.SoftDeadline = p.Integer(at+"aimUs") * micro
+		m.Deadline = p.Time(at + "giveUpUs")
+		m.Utility = p.NumberOr(at+"worth", 1)
+		m.LateUtility = p.NumberOr(at+"lateWorth", 0)
+		if i < len(read) {
+			m.Need = Choice(p, "extra.readLevel", read[i], needs)
+		}
+		if i < len(bounds) {
+			m.Bound = p.AsInteger("extra.maxAgeUs", bounds[i]) * micro
+		}
+	}
+	return methods
+}
+
+func (p *Parts) Crew() rules.Crew {
+	c := rules.Crew{Drivers: int(p.IntegerOr("fleetSize", 1))}
+	if c.Drivers < 1 {
+		p.Wrong("fleetSize=%d is out of range", c.Drivers)
+	}
+	if p.BoolOr("limits.peerMessages", false) {
+		c.News = protocol.NewsPerMessage
+	}
+	return c
+}
+
+func (p *Parts) Store() rules.Store {
+	return rules.Store{
+		Guarded: Choice(p, "extra.guards", p.At("extra.guards"), guards),
+		Carried: p.At("extra.tokens") == "client",
+	}
+}
+
+func (p *Parts) Allowed() rules.Allowed {
+	a := rules.Allowed{
+		CallOuts: int(p.IntegerOr("limits.mostTries", 1)),
+		Copies:   p.BoolOr("limits.mayDuplicate", false),
+		Cancel:   p.BoolOr("limits.cancelling", false),
+		Probes:   p.BoolOr("limits.probing", false),
+	}
+	if p.BoolOr("limits.retryAfter", false) {
+		a.ComeBack = p.Time("limits.maxRetryAfterUs")
+	}
+	return a
+}
+
+func (p *Parts) Thaw() rules.Thaw {
+	return rules.Thaw{
+		Share:     p.NumberOr("safety.startCapacity", 1),
+		WarmAfter: p.Time("safety.warmAfterUs"),
+		Multiple:  p.NumberOr("safety.fallMultiple", 1),
+	}
+}
+
+func (p *Parts) Notice() rules.Notice {
+	return rules.Notice{
+		Asked:     Choice(p, "discovery", p.At("discovery"), asks),
+		DrainOnly: p.BoolOr("safety.softRemoval", false),
+	}
+}
+
+// Sighting reads what a load report shows of its member. Positions count from epoch.
+func (p *Parts) Sighting(epoch int64) (s rules.Sighting) {
+	if _, ok := p.Get("x0"); !ok {
+		return s
+	}
+	s.Position = epoch + int64(p.NumberOr("x0", 0)*1e9)
+	s.Role = rules.RoleReplica
+	if p.NumberOr("x1", 0) >= 0.5 {
+		s.Role = rules.RolePrimary
+	}
+	return s
+}
--- /dev/null
+++ b/internal/program/peers.go
@@ -0,0 +1,69 @@
+package program
+
+import (
+	"net"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/routing"
+)
+
+// peers are the fellow drivers, reached by datagrams.
+type peers struct {
+	socket  *net.UDPConn
+	all     *net.UDPAddr
+	log     logrus.FieldLogger
+	dropped atomic.Int64
+}
+
+// newPeers opens the datagram socket, where drivers may send one another something.
+func newPeers(listen, all string, log logrus.FieldLogger) (*peers, error) {
+	if listen == "" || all == "" {
+		return &peers{}, nil
+	}
+	here, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, err
+	}
+	to, err := net.ResolveUDPAddr("udp", all)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", here)
+	if err != nil {
+		return nil, err
+	}
+	return &peers{socket: socket, all: to, log: log}, nil
+}
+
+// spread sends a message to all fellow drivers. One that can't be sent is lost, as it might be on its way.
+func (p *peers) spread(message []byte) {
+	if p.socket != nil {
+		p.socket.WriteToUDP(message, p.all)
+	}
+}
+
+// hear reports what fellow drivers send until the socket is closed.
+func (p *peers) hear(r *routing.Router) {
+	if p.socket == nil {
+		return
+	}
+	buffer := make([]byte, protocol.MessageBytes+1)
+	for {
+		n, from, err := p.socket.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if !r.ReportNews(buffer[:n]) {
+			p.log.WithField("from", from).WithField("dropped", p.dropped.Add(1)).Warn("datagram is not a driver's")
+		}
+	}
+}
+
+func (p *peers) close() {
+	if p.socket != nil {
+		p.socket.Close()
+	}
+}
--- /dev/null
+++ b/internal/program/pools.go
@@ -0,0 +1,120 @@
+package program
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/routing"
+	"sedgespread/internal/transport"
+	"sedgespread/rules"
+)
+
+// pools are the connections to members. Each carries one statement at a time.
+type pools struct {
+	life          context.Context
+	d             *transport.Descriptors
+	connectWithin time.Duration
+	idleFor       time.Duration
+
+	mu   sync.Mutex
+	idle map[rules.MemberID][]link
+}
+
+// link is a connection that carries nothing.
+type link struct {
+	protocol.Member
+	address string
+	since   time.Time
+}
+
+func newPools(life context.Context, d *transport.Descriptors, connectWithin, idleFor time.Duration) *pools {
+	return &pools{life: life, d: d, connectWithin: connectWithin, idleFor: idleFor, idle: map[rules.MemberID][]link{}}
+}
+
+// ask sends a statement to a member and waits for what comes of it.
+func (p *pools) ask(by context.Context, to rules.MemberID, address string,
+	statement func() string) routing.Outcome {
+	l, end := p.take(by, to, address)
+	if end != transport.Open {
+		return routing.Outcome{End: end}
+	}
+	answer, sent, end := l.Ask(by, statement())
+	if end == transport.Open {
+		p.give(to, l)
+	}
+	return routing.Outcome{Answer: answer, Sent: sent, End: end}
+}
+
+// take gives a connection that was idle, the one used last, or opens one.
+func (p *pools) take(by context.Context, to rules.MemberID, address string) (link, transport.End) {
+	if l, ok := p.waiting(to, address); ok {
+		return l, transport.Open
+	}
+	within, stop := context.WithTimeoutCause(by, p.connectWithin, transport.DialTimedOut)
+	defer stop()
+	m, end := protocol.Connect(p.life, within, p.d, address)
+	if end == transport.NoDescriptor && p.evict() {
+		m, end = protocol.Connect(p.life, within, p.d, address)
+	}
+	return link{Member: m, address: address}, end
+}
+
+func (p *pools) waiting(to rules.MemberID, address string) (link, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prune(to, func(l link) bool { return l.address != address || time.Since(l.since) > p.idleFor*9/10 })
+	last := len(p.idle[to]) - 1
+	if last < 0 {
+		return link{}, false
+	}
+	l := p.idle[to][last]
+	p.idle[to] = p.idle[to][:last]
+	return l, true
+}
+
+// prune lets go of idle connections that have ended or are unwanted. The lock is held.
+func (p *pools) prune(to rules.MemberID, unwanted func(link) bool) {
+	p.idle[to] = slices.DeleteFunc(p.idle[to], func(l link) bool {
+		if unwanted(l) {
+			l.Close(transport.Evicted)
+		}
+		return l.End() != transport.Open
+	})
+}
+
+func (p *pools) give(to rules.MemberID, l link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.since = time.Now()
+	p.prune(to, func(link) bool { return false })
+	p.idle[to] = append(p.idle[to], l)
+}
+
+// shed closes the idle connections to a member.
+func (p *pools) shed(to rules.MemberID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prune(to, func(link) bool { return true })
+}
+
+// evict closes the connection that has been idle longest, and tells whether there was one.
+func (p *pools) evict() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest link
+	for _, links := range p.idle {
+		for _, l := range links {
+			if l.End() == transport.Open && (oldest.Conn == nil || l.since.Before(oldest.since)) {
+				oldest = l
+			}
+		}
+	}
+	if oldest.Conn == nil {
+		return false
+	}
+	oldest.Close(transport.Evicted)
+	return true
+}
--- /dev/null
+++ b/internal/program/posting.go
@@ -0,0 +1,120 @@
+package program
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"sedgespread/internal/briefing"
+	"sedgespread/internal/protocol"
+)
+
+// Posting is where a driver is to work, and what it is told before it starts.
+type Posting struct {
+	Name, Listen, Discovery string
+	PeerListen, PeersAll    string // empty where drivers send one another nothing
+	Seed                    int64
+	Cores                   float64
+	MemoryMB, Sockets       int64
+	Known                   protocol.Targets
+	Deployment              *briefing.Parts
+	ConnectWithin           time.Duration
+	IdleFor                 time.Duration // a connection to a member may be idle so long
+	WatchFor                time.Duration // a watch waits for news so long
+}
+
+const (
+	longestWatch = time.Minute
+	usualWatch   = 20 * time.Second
+	usualConnect = 250 * time.Millisecond
+	usualIdle    = 30 * time.Second
+	mostPosting  = 64 << 20
+)
+
+// ReadPosting reads the environment and the file that it names.
+func ReadPosting(env func(string) string) (*Posting, error) {
+	for _, name := range []string{"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG"} {
+		if env(name) == "" {
+			return nil, fmt.Errorf("%s is missing from the environment", name)
+		}
+	}
+	text, err := os.ReadFile(env("GW_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	if len(text) > mostPosting {
+		return nil, fmt.Errorf("GW_CONFIG: the file is too long")
+	}
+	p, err := parsePosting(text)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	p.Name, p.Listen, p.Discovery = env("GW_NAME"), env("GW_LISTEN"), env("GW_DISCOVERY")
+	return p, nil
+}
+
+func parsePosting(text []byte) (*Posting, error) {
+	var file struct {
+		Known    json.RawMessage `json:"known"`
+		Settings map[string]any  `json:"settings"`
+		Rest     map[string]any  `json:"-"`
+	}
+	if err := decode(text, &file); err != nil {
+		return nil, err
+	}
+	if err := decode(text, &file.Rest); err != nil {
+		return nil, err
+	}
+	if file.Settings == nil {
+		return nil, fmt.Errorf("settings is missing")
+	}
+	delete(file.Rest, "known")
+	delete(file.Rest, "settings")
+	rest := briefing.Flatten("file", file.Rest)
+	p := &Posting{PeerListen: rest.At("peer_listen"), PeersAll: rest.At("peers_all"),
+		Cores: rest.NumberOr("limits.cores", 1), MemoryMB: rest.Integer("limits.memory_mb"),
+		Sockets: rest.Integer("limits.sockets"), Deployment: briefing.Flatten("settings", file.Settings)}
+	seed, err := strconv.ParseUint(rest.Text("seed"), 16, 64)
+	switch {
+	case rest.Err != nil:
+		return nil, rest.Err
+	case err != nil:
+		return nil, fmt.Errorf("seed=%q is not a hexadecimal number", rest.At("seed"))
+	case p.Cores <= 0 || p.MemoryMB < 16 || p.Sockets < 64:
+		return nil, fmt.Errorf("limits: cores, memory_mb or sockets is too small to work with")
+	}
+	p.Seed = int64(seed)
+	if len(file.Known) > 0 {
+		if p.Known, err = protocol.ParseTargets(file.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	p.Known.Whole = true
+	return p, p.spans()
+}
+
+// spans reads how long the network may take.
+func (p *Posting) spans() error {
+	span := func(name string, usual time.Duration) time.Duration {
+		if t := p.Deployment.Time(name); t > 0 {
+			return time.Duration(t)
+		}
+		return usual
+	}
+	p.ConnectWithin = span("limits.connectTimeoutUs", usualConnect)
+	p.IdleFor = span("limits.keepaliveUs", usualIdle)
+	p.WatchFor = min(longestWatch, span("safety.askEveryUs", usualWatch))
+	if !p.Deployment.BoolOr("limits.peerMessages", false) {
+		p.PeersAll = ""
+	}
+	return p.Deployment.Err
+}
+
+func decode(text []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	return d.Decode(into)
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,110 @@
+// Package program joins the layers into the driver that runs: sessions of clients, pools of connections to members,
+// discovery, fellow drivers, readiness, and how it leaves.
+package program
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/routing"
+	"sedgespread/internal/transport"
+)
+
+// Program is one driver at work.
+type Program struct {
+	posting     *Posting
+	log         logrus.FieldLogger
+	life        context.Context // of connections
+	descriptors *transport.Descriptors
+	router      *routing.Router
+	pools       *pools
+	lobby       *lobby
+	peers       *peers
+	ready       *readiness
+	tasks       errgroup.Group // call-outs, probes and the watch
+	generation  int64          // of the list held
+}
+
+const (
+	stayFor   = 600 * time.Millisecond // clients may still be sent here so long after a notice to leave
+	leaveIn   = 3500 * time.Millisecond
+	heapShare = 0.7 // of the memory allowed
+)
+
+// Run serves until the context ends, and then leaves in good order.
+func Run(ctx context.Context, posting *Posting, log logrus.FieldLogger) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(posting.Cores))))
+	debug.SetMemoryLimit(int64(float64(posting.MemoryMB<<20) * heapShare))
+	life, die := context.WithCancelCause(context.Background())
+	defer die(transport.ShutDown)
+	p := &Program{posting: posting, log: log, life: life, lobby: newLobby(),
+		descriptors: transport.NewDescriptors(int(posting.Sockets))}
+	var err error
+	if p.router, err = routing.New(posting.Deployment, posting.Seed, posting.Known, log); err != nil {
+		return err
+	}
+	p.ready = newReadiness(p.router.Probes())
+	p.pools = newPools(life, p.descriptors, posting.ConnectWithin, posting.IdleFor)
+	if p.peers, err = newPeers(posting.PeerListen, posting.PeersAll, log); err != nil {
+		return err
+	}
+	defer p.peers.close()
+	door, err := transport.Listen(posting.Listen, p.descriptors, protocol.MostBytes)
+	if err != nil {
+		return err
+	}
+	defer door.Close()
+	return p.serve(ctx, die, door)
+}
+
+// serve works until the context ends, leaves, and then lets everything end.
+func (p *Program) serve(ctx context.Context, die context.CancelCauseFunc, door *transport.Listener) error {
+	var sessions errgroup.Group
+	background, rest := context.WithCancel(p.life)
+	defer rest()
+	p.tasks.Go(func() error { return p.duties(background) })
+	p.tasks.Go(func() error { p.peers.hear(p.router); return nil })
+	sessions.Go(func() error { return p.welcome(door, &sessions) })
+	p.log.WithField("listen", door.Address()).Info("serving")
+	<-ctx.Done()
+	p.leave(door, &sessions)
+	rest()
+	die(transport.ShutDown)
+	p.peers.close()
+	return p.tasks.Wait()
+}
+
+// welcome accepts clients until the door closes.
+func (p *Program) welcome(door *transport.Listener, sessions *errgroup.Group) error {
+	spare := p.descriptors.Limit() / 3 // for call-outs and probes
+	for {
+		c, err := door.Accept(p.life, spare, p.lobby.evict)
+		if err != nil {
+			return nil
+		}
+		sessions.Go(func() error { p.session(protocol.Client{Conn: c}); return nil })
+	}
+}
+
+// leave serves on while clients may still be sent here, then lets them go between queries.
+func (p *Program) leave(door *transport.Listener, sessions *errgroup.Group) {
+	p.log.Info("leaving")
+	start := time.Now()
+	time.Sleep(stayFor)
+	door.Close()
+	p.lobby.clear()
+	gone := make(chan struct{})
+	go func() { sessions.Wait(); close(gone) }()
+	select {
+	case <-gone:
+	case <-time.After(time.Until(start.Add(leaveIn))):
+		p.log.Warn("clients are still here")
+	}
+}
--- /dev/null
+++ b/internal/routing/host.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"sedgespread/internal/protocol"
+	"sedgespread/rules"
+)
+
+// host is the Router as the module sees it. The lock is held whenever the module runs.
+type host Router
+
+func (h *host) Now() int64 { return (*Router)(h).now() }
+
+func (h *host) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
+	return h.trips[id].callOut((*Router)(h), to, within, next)
+}
+
+func (h *host) Cancel(id rules.RPCID, number int) {
+	if t := h.trips[id]; t != nil {
+		t.calls[number].cancel()
+	}
+}
+
+func (h *host) PushBack(id rules.RPCID, comeBack int64) {
+	h.trips[id].finish(Step{Act: PushBack, ComeBack: comeBack})
+}
+
+func (h *host) Abort(id rules.RPCID) { h.trips[id].finish(Step{Act: Abort}) }
+
+func (h *host) CloseIdle(to rules.MemberID) { h.add(Shed{Member: to}) }
+
+func (h *host) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
+	h.looks[to] = append(h.looks[to], next)
+	h.add(Look{Member: to, Address: h.registry.addresses[to]})
+}
+
+func (h *host) After(wait int64, next func()) {
+	at := h.Now() + max(wait, 0)
+	h.timers.add(at, next)
+	if h.timers.queue[0].at == at {
+		(*Router)(h).stir()
+	}
+}
+
+func (h *host) Watch() { h.add(Follow{}) }
+
+func (h *host) Tell(news []rules.News) {
+	var message []byte
+	for _, n := range news {
+		message = protocol.AppendNews(message, protocol.News{Member: h.registry.keys[n.Member], Role: uint8(n.Role),
+			Position: n.Position / milli, Took: n.Took / milli})
+	}
+	h.add(Spread{Message: message})
+}
+
+func (h *host) Log(line string) { h.log.Info(line) }
+
+func (h *host) add(d Duty) {
+	h.duties = append(h.duties, d)
+	(*Router)(h).stir()
+}
--- /dev/null
+++ b/internal/routing/outcome.go
@@ -0,0 +1,81 @@
+package routing
+
+import (
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/transport"
+	"sedgespread/rules"
+)
+
+// Outcome is how a call-out or a probe ended, as the network saw it.
+type Outcome struct {
+	Answer *protocol.Answer // nil where no whole one came
+	Sent   bool             // the last byte of the statement was written
+	End    transport.End    // how the connection ended, or Open
+}
+
+// states maps what a member answers in place of a row.
+var states = map[string]verdict{
+	protocol.StateReadOnly: {rules.NeverRan, rules.Missed},
+	protocol.StateTooOld:   {rules.NeverRan, rules.Missed},
+	protocol.StateTooMany:  {rules.NeverRan, rules.Full},
+	protocol.StateNotNow:   {rules.NeverRan, rules.Full},
+}
+
+// causes maps how a connection ended to why a call-out on it was not ok.
+var causes = map[transport.End]rules.Cause{
+	transport.DialRefused:  rules.NoConnect,
+	transport.DialTimedOut: rules.NoConnect,
+	transport.DialFailed:   rules.NoConnect,
+	transport.NoDescriptor: rules.NoConnect,
+	transport.TurnedAway:   rules.NoConnect,
+	transport.ClosedByPeer: rules.Reset,
+	transport.CutShort:     rules.Reset,
+	transport.ResetByPeer:  rules.Reset,
+	transport.Malformed:    rules.Errored,
+	transport.TooLong:      rules.Errored,
+	transport.WriteStalled: rules.TimedOut,
+	transport.TimedOut:     rules.TimedOut,
+	transport.Cancelled:    rules.Cancelled,
+	transport.Evicted:      rules.Reset,
+	transport.ShutDown:     rules.Cancelled,
+}
+
+type verdict struct {
+	proof rules.Proof
+	cause rules.Cause
+}
+
+// verdict is the one place where ends and answers become what the module knows.
+func (o Outcome) verdict() verdict {
+	if a := o.Answer; a != nil && a.Failure == nil {
+		return verdict{rules.OK, rules.NoCause}
+	} else if a != nil {
+		if v, known := states[a.Failure.State]; known {
+			return v
+		}
+		return verdict{rules.MayHaveRun, rules.Errored}
+	}
+	cause := causes[o.End]
+	if o.Sent {
+		return verdict{rules.MayHaveRun, cause}
+	}
+	if cause == rules.Reset || cause == rules.Errored {
+		cause = rules.NoConnect
+	}
+	return verdict{rules.NeverRan, cause}
+}
+
+// sighting is what an answer shows of its member.
+func (o Outcome) sighting() (s rules.Sighting) {
+	if o.Answer == nil {
+		return s
+	}
+	switch {
+	case o.Answer.Primary:
+		s.Role = rules.RolePrimary
+	case o.Answer.Replica:
+		s.Role = rules.RoleReplica
+	}
+	s.Position = o.Answer.Position * milli
+	return s
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,182 @@
+// Package routing puts a blocking facade on the module: an RPC is taken and its next step picked, what the network
+// found is reported, and Tick hands out what falls due without an RPC. It has the one lock, the timers, the clock
+// and the one mapping of ends to outcomes; nobody else calls the module.
+package routing
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sedgespread/internal/briefing"
+	"sedgespread/internal/protocol"
+	"sedgespread/rules"
+)
+
+const milli = int64(time.Millisecond)
+
+// Router is the facade.
+type Router struct {
+	mu       sync.Mutex
+	driver   *rules.Driver
+	registry registry
+	timers   timers
+	duties   []Duty
+	looks    map[rules.MemberID][]func(rules.ProbeResult)
+	trips    map[rules.RPCID]*Trip
+	last     rules.RPCID
+	methods  map[string]rules.MethodID
+	allowed  rules.Allowed
+	begun    time.Time
+	stirred  chan struct{} // a timer or a duty has been added
+	log      logrus.FieldLogger
+}
+
+// New reads what the module is told at its start. The list is the one last known.
+func New(told *briefing.Parts, seed int64, known protocol.Targets, log logrus.FieldLogger) (*Router, error) {
+	r := &Router{registry: newRegistry(), looks: map[rules.MemberID][]func(rules.ProbeResult){},
+		trips: map[rules.RPCID]*Trip{}, methods: map[string]rules.MethodID{}, begun: time.Now(),
+		stirred: make(chan struct{}, 1), log: log}
+	methods := told.Methods()
+	for i, m := range methods {
+		r.methods[m.Name] = rules.MethodID(i)
+	}
+	crew, store, allowed, thaw, notice := told.Crew(), told.Store(), told.Allowed(), told.Thaw(), told.Notice()
+	if told.Err != nil {
+		return nil, told.Err
+	}
+	r.allowed = allowed
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.driver = rules.New((*host)(r), seed, methods, crew, store, allowed, thaw, notice)
+	r.list(known)
+	return r, nil
+}
+
+// now is Unix time in nanoseconds that never goes back. The lock need not be held.
+func (r *Router) now() int64 { return r.begun.UnixNano() + int64(time.Since(r.begun)) }
+
+func (r *Router) list(t protocol.Targets) {
+	lines := make([]rules.Listing, 0, len(t.Entries))
+	for _, e := range t.Entries {
+		lines = append(lines, r.registry.listing(e))
+	}
+	r.driver.List(lines, t.Whole)
+}
+
+// ReportList reports the list, or what changed in it.
+func (r *Router) ReportList(t protocol.Targets) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list(t)
+}
+
+// ReportNoList reports that discovery could not be asked, or that a watch broke off.
+func (r *Router) ReportNoList() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.driver.ListFailed()
+}
+
+// ReportNews reports a fellow driver's message, and tells whether it was one.
+func (r *Router) ReportNews(message []byte) bool {
+	told, ok := protocol.ParseNews(message)
+	if !ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var news []rules.News
+	for _, n := range told {
+		if id, known := r.registry.byKey[n.Member]; known {
+			news = append(news, rules.News{Member: id, Took: n.Took * milli,
+				Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: n.Position * milli}})
+		}
+	}
+	r.driver.Told(news)
+	return true
+}
+
+// ReportLook reports what a probe found.
+func (r *Router) ReportLook(to rules.MemberID, o Outcome) {
+	found := rules.ProbeResult{Cause: o.verdict().cause, Sighting: o.sighting()}
+	if o.Answer != nil && o.Answer.Failure == nil {
+		var load briefing.Parts
+		load.Parse("report,"+o.Answer.Text(), ",", "=")
+		if s := load.Sighting(0); load.Err == nil && s.Role != rules.RoleUnknown {
+			found.Sighting = s
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting := r.looks[to]
+	r.looks[to] = waiting[1:]
+	waiting[0](found)
+}
+
+// Tick waits until something falls due that no RPC asks for, and gives it. Meanwhile the module's timers run.
+func (r *Router) Tick(ctx context.Context) (Duty, error) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		duty, ok, wait := r.turn()
+		if ok {
+			return duty, nil
+		}
+		alarm.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-alarm.C:
+		case <-r.stirred:
+		}
+	}
+}
+
+// turn runs the timers that are due, and gives the next duty or how long to wait for one.
+func (r *Router) turn() (Duty, bool, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for next, ok := r.timers.due(r.now()); ok; next, ok = r.timers.due(r.now()) {
+		next()
+	}
+	if len(r.duties) > 0 {
+		duty := r.duties[0]
+		r.duties = r.duties[1:]
+		return duty, true, 0
+	}
+	if len(r.timers.queue) == 0 {
+		return nil, false, time.Hour
+	}
+	return nil, false, time.Duration(r.timers.queue[0].at - r.now())
+}
+
+// stir wakes Tick.
+func (r *Router) stir() {
+	select {
+	case r.stirred <- struct{}{}:
+	default:
+	}
+}
+
+// Method finds a method by its name.
+func (r *Router) Method(name string) (rules.MethodID, error) {
+	id, known := r.methods[name]
+	if !known {
+		return 0, fmt.Errorf("method %q is not known", name)
+	}
+	return id, nil
+}
+
+// Member is the number of a member that discovery knows by a name.
+func (r *Router) Member(name string) rules.MemberID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registry.number(name)
+}
+
+// Probes tells whether members are probed.
+func (r *Router) Probes() bool { return r.allowed.Probes }
--- /dev/null
+++ b/internal/routing/trip.go
@@ -0,0 +1,127 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/transport"
+	"sedgespread/rules"
+)
+
+// Act is what comes next for an RPC.
+type Act int
+
+const (
+	CallOut  Act = iota // make a call-out, and report how it ended
+	Serve               // pass on the answer
+	PushBack            // answer that trying again is harmless
+	Abort               // answer that it failed
+	Drop                // nothing: its client has gone
+)
+
+// Step is what comes next for an RPC.
+type Step struct {
+	Act      Act
+	Number   int // of the call-out
+	Member   rules.MemberID
+	Address  string
+	ComeBack int64
+	By       context.Context // ends when the call-out is no longer waited for
+	Within   time.Duration   // that it may take
+	Answer   *protocol.Answer
+}
+
+// Trip is an RPC on its way. It is over once Pick gave a step other than a call-out; results of call-outs that are
+// still out then are reported all the same.
+type Trip struct {
+	r     *Router
+	id    rules.RPCID
+	steps chan Step
+	calls []call
+	out   int
+	ended bool
+}
+
+// call is a call-out.
+type call struct {
+	sent   int64
+	cancel func()
+	next   func(rules.Result) // nil once its result is in
+}
+
+// Take accepts an RPC, whose ID is set here.
+func (r *Router) Take(rpc rules.RPC) *Trip {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last++
+	for r.trips[r.last] != nil {
+		r.last++
+	}
+	rpc.ID = r.last
+	t := &Trip{r: r, id: rpc.ID, steps: make(chan Step, r.allowed.CallOuts+1)}
+	r.trips[t.id] = t
+	r.driver.Take(rpc)
+	return t
+}
+
+// Pick waits for the next step.
+func (t *Trip) Pick() Step { return <-t.steps }
+
+// Leave says that the client has gone.
+func (t *Trip) Leave() {
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	if !t.ended {
+		t.r.driver.Left(t.id)
+		t.finish(Step{Act: Drop})
+	}
+}
+
+// Report says how a call-out ended.
+func (t *Trip) Report(number int, o Outcome) {
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	c := &t.calls[number]
+	next := c.next
+	if next == nil {
+		return
+	}
+	c.cancel()
+	c.next = nil
+	t.out--
+	v := o.verdict()
+	if v.proof == rules.OK && !t.ended {
+		t.finish(Step{Act: Serve, Answer: o.Answer})
+	}
+	next(rules.Result{Proof: v.proof, Cause: v.cause, Took: t.r.now() - c.sent, Final: t.ended, Sighting: o.sighting()})
+	t.drop()
+}
+
+// callOut hands out a call-out. The lock is held.
+func (t *Trip) callOut(r *Router, to rules.MemberID, within int64, next func(rules.Result)) int {
+	n := len(t.calls)
+	span := time.Duration(max(within, 0))
+	by, stop := context.WithTimeout(context.Background(), span)
+	by, cancel := context.WithCancelCause(by)
+	t.calls = append(t.calls, call{sent: r.now(), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
+	t.out++
+	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.addresses[to], By: by, Within: span}
+	return n
+}
+
+// finish hands out the last step. The lock is held.
+func (t *Trip) finish(s Step) {
+	if !t.ended {
+		t.ended = true
+		t.steps <- s
+		t.drop()
+	}
+}
+
+// drop forgets the RPC once it has ended and nothing is out for it.
+func (t *Trip) drop() {
+	if t.ended && t.out == 0 {
+		delete(t.r.trips, t.id)
+	}
+}
--- a/internal/simwire/news.go
+++ b/internal/simwire/news.go
@@ -2,53 +2,42 @@
 
 import (
 	"encoding/base64"
-	"encoding/binary"
 	"math"
 
+	"sedgespread/internal/briefing"
+	"sedgespread/internal/protocol"
 	"sedgespread/rules"
 )
 
-const (
-	messageBytes = 256
-	newsBytes    = 2*binary.MaxVarintLen32 + binary.MaxVarintLen64 // at the most
-	milli        = int64(1_000_000)
-)
+const milli = int64(1_000_000)
 
-// Tell writes, for each of the news, the member, four times the position in milliseconds plus the role, and the
-// answer time in milliseconds.
+// Tell sends the news to all fellow drivers.
 func (d *driver) Tell(news []rules.News) {
 	var content []byte
 	for _, n := range news {
-		content = binary.AppendUvarint(content, uint64(n.Member))
-		note := max(n.Position-d.epoch, 0)/milli*4 + int64(n.Role)
-		content = binary.AppendUvarint(content, uint64(note))
-		content = binary.AppendUvarint(content, uint64(min(max(n.Took, 0)/milli, math.MaxUint32)))
+		content = protocol.AppendNews(content, protocol.News{Member: uint64(n.Member), Role: uint8(n.Role),
+			Position: (n.Position - d.epoch) / milli, Took: n.Took / milli})
 	}
 	d.begin("SIGNAL").words("addressee", "all").words("content", base64.StdEncoding.EncodeToString(content)).send()
 }
 
 // whisper reads what a fellow driver told. A message that is not of our making is passed over.
-func (d *driver) whisper(f *fields) {
-	content, err := base64.StdEncoding.DecodeString(f.text("content"))
+func (d *driver) whisper(f *briefing.Parts) {
+	content, err := base64.StdEncoding.DecodeString(f.Text("content"))
 	if err != nil {
-		f.wrong("content is not base64")
+		f.Wrong("content is not base64")
 	}
-	if f.err != nil {
+	if f.Err != nil {
 		return
 	}
+	told, ok := protocol.ParseNews(content)
 	news := d.w.news[:0]
-	for len(content) > 0 {
-		id, n := binary.Uvarint(content)
-		note, k := binary.Uvarint(content[max(n, 0):])
-		took, t := binary.Uvarint(content[max(n, 0)+max(k, 0):])
-		role, known := roles[int64(note%4)]
-		if n <= 0 || k <= 0 || t <= 0 || !known || id > math.MaxUint32 || note > 1<<50 || took > math.MaxUint32 {
-			return
-		}
-		news = append(news, rules.News{Member: rules.MemberID(id),
-			Sighting: rules.Sighting{Role: role, Position: d.epoch + int64(note/4)*milli}, Took: int64(took) * milli})
-		content = content[n+k+t:]
+	for _, n := range told {
+		ok = ok && n.Member <= math.MaxUint32
+		news = append(news, rules.News{Member: rules.MemberID(n.Member), Took: n.Took * milli,
+			Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: d.epoch + n.Position*milli}})
+	}
+	if d.w.news = news; ok {
+		d.Told(news)
 	}
-	d.w.news = news
-	d.Told(news)
 }
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"sedgespread/internal/briefing"
 	"sedgespread/rules"
 )
 
@@ -17,15 +18,15 @@
 
 // wire is one process's end of the conversation.
 type wire struct {
-	in      *bufio.Reader
-	out     *bufio.Writer
-	line    int
-	fields               // of the line read last
-	text    []byte       // of the line being written
-	news    []rules.News // read last
-	now     int64
-	pages   map[int64][]rules.Listing
-	drivers map[int64]*driver
+	in             *bufio.Reader
+	out            *bufio.Writer
+	line           int
+	briefing.Parts              // of the line read last
+	text           []byte       // of the line being written
+	news           []rules.News // read last
+	now            int64
+	pages          map[int64][]rules.Listing
+	drivers        map[int64]*driver
 }
 
 // driver is one instance: its module and what that has left pending.
@@ -64,7 +65,7 @@
 }
 
 // read gives the next line that is not empty.
-func (w *wire) read() (*fields, error) {
+func (w *wire) read() (*briefing.Parts, error) {
 	for {
 		text, err := w.in.ReadString('\n')
 		if err == io.EOF && text != "" {
@@ -76,14 +77,14 @@
 		}
 		w.line++
 		if text = strings.TrimRight(text, "\r\n"); text != "" {
-			w.parse(text, "\t", "=")
-			return &w.fields, w.err
+			w.Parse(text, "\t", "=")
+			return &w.Parts, w.Err
 		}
 	}
 }
 
 // inside reads a line where the input must not end.
-func (w *wire) inside(what string) (*fields, error) {
+func (w *wire) inside(what string) (*briefing.Parts, error) {
 	f, err := w.read()
 	if errors.Is(err, io.EOF) {
 		return nil, fmt.Errorf("the input ends inside a %s", what)
@@ -96,20 +97,20 @@
 	if err != nil {
 		return err
 	}
-	if f.name != "BEGIN_BATCH" {
-		return fmt.Errorf("%q where a batch should begin", f.name)
+	if f.Name != "BEGIN_BATCH" {
+		return fmt.Errorf("%q where a batch should begin", f.Name)
 	}
-	w.now = f.time("simTimeUs")
-	n := f.integer("n")
-	if f.text("simTimeUs"); f.err != nil {
-		return f.err
+	w.now = f.Time("simTimeUs")
+	n := f.Integer("n")
+	if f.Text("simTimeUs"); f.Err != nil {
+		return f.Err
 	}
 	for {
 		f, err := w.inside("batch")
 		if err != nil {
 			return err
 		}
-		if f.name == "EOB" {
+		if f.Name == "EOB" {
 			w.begin("YIELD").number("n", n).send()
 			return w.out.Flush()
 		}
@@ -119,21 +120,21 @@
 	}
 }
 
-func (w *wire) event(f *fields) error {
-	switch f.name {
+func (w *wire) event(f *briefing.Parts) error {
+	switch f.Name {
 	case "PAGE":
 		return w.page(f)
 	case "NEW_INSTANCE":
 		return w.newInstance(f)
 	}
-	d := w.drivers[f.integer("who")]
-	if f.err != nil {
-		return f.err
+	d := w.drivers[f.Integer("who")]
+	if f.Err != nil {
+		return f.Err
 	}
 	if d == nil {
-		return fmt.Errorf("%s: who=%s is not running", f.name, f.at("who"))
+		return fmt.Errorf("%s: who=%s is not running", f.Name, f.At("who"))
 	}
-	switch f.name {
+	switch f.Name {
 	case "STOP":
 		delete(w.drivers, d.who)
 	case "VIEW":
@@ -141,13 +142,13 @@
 	case "REQUEST":
 		d.request(f)
 	case "FIRST":
-		d.resolved(f, false, rules.Result{Proof: rules.Started, Took: f.time("waitTimeUs")})
+		d.resolved(f, false, rules.Result{Proof: rules.Started, Took: f.Time("waitTimeUs")})
 	case "RESOLVED":
-		d.resolved(f, true, f.result(d.epoch))
+		d.resolved(f, true, result(f, d.epoch))
 	case "VANISHED":
-		id := rules.RPCID(f.id("xid"))
+		id := rules.RPCID(f.ID("xid"))
 		d.ended(id)
-		if f.err == nil {
+		if f.Err == nil {
 			d.Left(id)
 		}
 	case "TIMEOUT_FIRED":
@@ -157,15 +158,15 @@
 	case "WHISPER":
 		d.whisper(f)
 	default:
-		return fmt.Errorf("unknown message %q", f.name)
+		return fmt.Errorf("unknown message %q", f.Name)
 	}
-	return f.err
+	return f.Err
 }
 
-func (w *wire) page(f *fields) error {
-	slot, count := f.integer("slot"), f.integer("elements")
-	if f.err != nil {
-		return f.err
+func (w *wire) page(f *briefing.Parts) error {
+	slot, count := f.Integer("slot"), f.Integer("elements")
+	if f.Err != nil {
+		return f.Err
 	}
 	var lines []rules.Listing
 	for range count {
@@ -173,72 +174,72 @@
 		if err != nil {
 			return err
 		}
-		if e.name != "M" {
-			return fmt.Errorf("%q where a list's entry should be", e.name)
+		if e.Name != "M" {
+			return fmt.Errorf("%q where a list's entry should be", e.Name)
 		}
-		lines = append(lines, e.listing())
-		if e.err != nil {
-			return e.err
+		lines = append(lines, listing(e))
+		if e.Err != nil {
+			return e.Err
 		}
 	}
 	w.pages[slot] = lines
 	return nil
 }
 
-func (w *wire) newInstance(f *fields) error {
-	d := &driver{w: w, who: f.integer("who"), epoch: f.time("extra.countedFromUs"), methods: map[string]rules.MethodID{},
+func (w *wire) newInstance(f *briefing.Parts) error {
+	d := &driver{w: w, who: f.Integer("who"), epoch: f.Time("extra.countedFromUs"), methods: map[string]rules.MethodID{},
 		rpcs: map[rules.RPCID]*pending{}, probes: map[rules.MemberID][]func(rules.ProbeResult){}}
-	methods := f.methods()
+	methods := f.Methods()
 	for i, m := range methods {
 		d.methods[m.Name] = rules.MethodID(i)
 	}
-	seed := f.integer("salt")
-	crew, store, allowed, thaw, notice := f.crew(), f.store(), f.allowed(), f.thaw(), f.notice()
-	if f.err != nil {
-		return f.err
+	seed := f.Integer("salt")
+	crew, store, allowed, thaw, notice := f.Crew(), f.Store(), f.Allowed(), f.Thaw(), f.Notice()
+	if f.Err != nil {
+		return f.Err
 	}
 	d.Driver = rules.New(d, seed, methods, crew, store, allowed, thaw, notice)
 	w.drivers[d.who] = d
 	return nil
 }
 
-func (d *driver) view(f *fields) {
-	mode := f.text("mode")
+func (d *driver) view(f *briefing.Parts) {
+	mode := f.Text("mode")
 	if mode == "FAILED" {
 		d.ListFailed()
 		return
 	}
-	whole := choice(f, "mode", mode, modes)
-	lines, ok := d.w.pages[f.integer("slot")]
+	whole := briefing.Choice(f, "mode", mode, modes)
+	lines, ok := d.w.pages[f.Integer("slot")]
 	if !ok {
-		f.wrong("slot=%s holds no list", f.at("slot"))
+		f.Wrong("slot=%s holds no list", f.At("slot"))
 	}
-	if f.err == nil {
+	if f.Err == nil {
 		d.List(lines, whole)
 	}
 }
 
-func (d *driver) request(f *fields) {
-	method := choice(f, "tierClass", f.text("tierClass"), d.methods)
-	rpc := rules.RPC{ID: rules.RPCID(f.id("xid")), Method: method, Group: rules.GroupID(f.integerOr("cluster", 0)),
-		Session: f.at("key"), Left: f.integer("graceUs") * micro, Repeat: f.integerOr("flags", 0)&repeatFlag != 0}
-	if ago := f.numberOr("lastWriteMs", 0); ago > 0 {
+func (d *driver) request(f *briefing.Parts) {
+	method := briefing.Choice(f, "tierClass", f.Text("tierClass"), d.methods)
+	rpc := rules.RPC{ID: rules.RPCID(f.ID("xid")), Method: method, Group: rules.GroupID(f.IntegerOr("cluster", 0)),
+		Session: f.At("key"), Left: f.Integer("graceUs") * micro, Repeat: f.IntegerOr("flags", 0)&repeatFlag != 0}
+	if ago := f.NumberOr("lastWriteMs", 0); ago > 0 {
 		rpc.Token = d.w.now - int64(ago*1e6)
 	}
-	if f.err == nil {
+	if f.Err == nil {
 		d.rpcs[rpc.ID] = &pending{}
 		d.Take(rpc)
 	}
 }
 
-func (d *driver) resolved(f *fields, last bool, r rules.Result) {
-	id, n := rules.RPCID(f.id("xid")), int(f.integer("n"))
-	if f.err != nil {
+func (d *driver) resolved(f *briefing.Parts, last bool, r rules.Result) {
+	id, n := rules.RPCID(f.ID("xid")), int(f.Integer("n"))
+	if f.Err != nil {
 		return
 	}
 	p := d.rpcs[id]
 	if p == nil || n < 0 || n >= len(p.next) || p.next[n] == nil {
-		f.wrong("xid=%d n=%d is not out", id, n)
+		f.Wrong("xid=%d n=%d is not out", id, n)
 		return
 	}
 	next := p.next[n]
@@ -267,10 +268,10 @@
 	}
 }
 
-func (d *driver) fired(f *fields) {
-	handle := f.integer("handle")
+func (d *driver) fired(f *briefing.Parts) {
+	handle := f.Integer("handle")
 	if handle < 0 || handle >= int64(len(d.timers)) || d.timers[handle] == nil {
-		f.wrong("handle=%d is not set", handle)
+		f.Wrong("handle=%d is not set", handle)
 		return
 	}
 	next := d.timers[handle]
@@ -279,13 +280,13 @@
 	next()
 }
 
-func (d *driver) probed(f *fields) {
-	to, r := rules.MemberID(f.id("member")), f.probeResult(d.epoch)
+func (d *driver) probed(f *briefing.Parts) {
+	to, r := rules.MemberID(f.ID("member")), probeResult(f, d.epoch)
 	waiting := d.probes[to]
 	if len(waiting) == 0 {
-		f.wrong("member=%d is not being probed", to)
+		f.Wrong("member=%d is not being probed", to)
 	}
-	if f.err == nil {
+	if f.Err == nil {
 		d.probes[to] = waiting[1:]
 		waiting[0](r)
 	}
--- /dev/null
+++ b/internal/transport/end.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+)
+
+// End is the way in which a connection ended, or that it is open still.
+type End int
+
+const (
+	Open         End = iota
+	DialRefused      // nobody listens there
+	DialTimedOut     // it never came up
+	DialFailed       // any other reason for which it did not come up
+	NoDescriptor     // this driver may hold no more
+	TurnedAway       // the peer took the connection, but not the session
+	ClosedByPeer     // an orderly end between messages
+	CutShort         // the peer ended it inside a message
+	ResetByPeer      // the peer, or its machine, broke it
+	Malformed        // the peer sent what can't be followed
+	TooLong          // the peer sent more than may be held
+	WriteStalled     // the peer did not take what was sent in time
+	TimedOut         // this driver stopped waiting
+	Cancelled        // this driver no longer wanted the reply
+	Evicted          // let go of between messages
+	ShutDown         // this driver is going
+)
+
+var endNames = [...]string{"open", "dial refused", "dial timed out", "dial failed", "no descriptor", "turned away",
+	"closed by peer", "cut short", "reset by peer", "malformed", "too long", "write stalled", "timed out", "cancelled",
+	"evicted", "shut down"}
+
+func (e End) String() string { return endNames[e] }
+
+// Error lets an End be the cause of a context's end.
+func (e End) Error() string { return endNames[e] }
+
+// EndOf tells why a context ended: the End it was cancelled with, or its deadline.
+func EndOf(ctx context.Context) End {
+	var end End
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return Open
+	case errors.As(cause, &end):
+		return end
+	case errors.Is(cause, context.DeadlineExceeded):
+		return TimedOut
+	}
+	return Cancelled
+}
+
+// endOfDial tells why no connection came up by the end of a context.
+func endOfDial(by context.Context, err error) End {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		if _, bounded := by.Deadline(); bounded {
+			<-by.Done() // the dialer keeps the same deadline and may see it first
+		}
+	}
+	switch {
+	case by.Err() != nil:
+		return EndOf(by)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return DialRefused
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		return NoDescriptor
+	}
+	return DialFailed
+}
+
+func endOfRead(err error) End {
+	if errors.Is(err, io.EOF) {
+		return ClosedByPeer
+	}
+	return ResetByPeer
+}
+
+func endOfWrite(err error) End {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return WriteStalled
+	}
+	return ResetByPeer
+}
--- /dev/null
+++ b/internal/transport/ring.go
@@ -0,0 +1,99 @@
+package transport
+
+// Ring is a first-in first-out buffer of bytes. It holds no memory until it is written to, doubles as needed up
+// to its bound, and is let go of when a large one has run empty.
+type Ring struct {
+	buf   []byte
+	head  int
+	used  int
+	bound int
+}
+
+const (
+	firstSize = 512
+	keptSize  = 8 << 10 // a larger ring is given back once it is empty
+)
+
+// NewRing makes an empty ring that grows to bound bytes at most.
+func NewRing(bound int) Ring { return Ring{bound: bound} }
+
+// Len is the number of bytes held.
+func (r *Ring) Len() int { return r.used }
+
+// Room is the number of bytes that may still be written.
+func (r *Ring) Room() int { return r.bound - r.used }
+
+// grow makes space for n more bytes, as far as the bound allows.
+func (r *Ring) grow(n int) {
+	size := max(len(r.buf), min(firstSize, r.bound))
+	for size < min(r.used+n, r.bound) {
+		size = min(2*size, r.bound)
+	}
+	if size == len(r.buf) {
+		return
+	}
+	bigger := make([]byte, size)
+	r.peek(0, bigger[:r.used])
+	r.buf, r.head = bigger, 0
+}
+
+// relax starts an empty ring afresh, and gives a large one back.
+func (r *Ring) relax() {
+	if r.used > 0 {
+		return
+	}
+	r.head = 0
+	if len(r.buf) > keptSize {
+		r.buf = nil
+	}
+}
+
+// Write appends as much of p as there is room for, and tells how much.
+func (r *Ring) Write(p []byte) int {
+	p = p[:min(len(p), r.Room())]
+	r.grow(len(p))
+	for rest := p; len(rest) > 0; {
+		n := copy(r.free(), rest)
+		r.used += n
+		rest = rest[n:]
+	}
+	return len(p)
+}
+
+// free is the longest unused stretch behind what is held.
+func (r *Ring) free() []byte {
+	if len(r.buf) == 0 || r.used == len(r.buf) {
+		return nil
+	}
+	tail := (r.head + r.used) % len(r.buf)
+	if tail < r.head {
+		return r.buf[tail:r.head]
+	}
+	return r.buf[tail:]
+}
+
+// front is the longest stretch that is held, from the oldest byte on.
+func (r *Ring) front() []byte {
+	if r.used == 0 {
+		return nil
+	}
+	return r.buf[r.head:min(r.head+r.used, len(r.buf))]
+}
+
+// peek copies bytes from an offset on without taking them; they must be held.
+func (r *Ring) peek(from int, into []byte) {
+	if len(into) == 0 {
+		return
+	}
+	at := (r.head + from) % len(r.buf)
+	n := copy(into, r.buf[at:])
+	copy(into[n:], r.buf)
+}
+
+// discard drops the n oldest bytes. It leaves the free stretch where it is: somebody may be filling it.
+func (r *Ring) discard(n int) {
+	if n > 0 {
+		r.head = (r.head + n) % len(r.buf)
+		r.used -= n
+	}
+}
