--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,6 +29,7 @@
 	scarceFor     = 2 * sec  // connections are scarce so long after a live member refused one
 	forgetAfter   = 60 * sec // members that left and commits of sessions are kept so long
 	holdPoll      = 100 * ms // an RPC held looks again this often
+	unreached     = 0.45     // share of its client's time for which an RPC that no member got is held
 	firstTook     = 100 * ms // answer time to expect before any was seen
 	firstGap      = 2 * sec  // time between call-outs of a group to expect
 	firstRoom     = 9.0      // call-outs of all drivers that a member may hold, before its answers teach better
@@ -295,10 +296,8 @@
 		return true
 	case NeedBounded:
 		// The known position decides where members do not check themselves, or one just turned a read away.
-		if d.pos[m] == 0 || (!d.store.Guarded || d.missed[m]) && d.pos[m] < d.host.Now()-c.method.Bound+ms {
-			return false
-		}
-		return d.staleness(m) <= c.method.Bound
+		known := d.store.Guarded && !d.missed[m] || d.pos[m] >= d.host.Now()-c.method.Bound+ms
+		return known && d.pos[m] != 0 && d.staleness(m) <= c.method.Bound
 	case NeedSession:
 		return d.pos[m] >= max(c.Token, d.floor)
 	}
@@ -456,21 +455,26 @@
 	d.recheck(c)
 }
 
-// recheck looks at a held RPC now and then, until it goes out or no answer could be of use any more.
+// recheck looks at a held RPC now and then, until it goes out or no answer could be of use any more. One that no
+// member got yet is given up sooner, with time left for its client to ask again. Guards against clients kept
+// waiting in vain while a primary is away; could harm where one that is away comes back within moments.
 func (d *Driver) recheck(c *call) {
-	if c.ended || !c.held {
-		return
+	now := d.host.Now()
+	left := c.last() - int64(c.group.took) - now
+	if !c.reached {
+		left = min(left, c.deadline-int64((1-unreached)*float64(c.Left))-now)
 	}
-	left := c.last() - int64(c.group.took) - d.host.Now()
-	if left <= 0 {
+	switch {
+	case c.ended || !c.held:
+	case left <= 0:
 		d.finish(c)
-		return
+	default:
+		d.host.After(min(left, holdPoll), func() {
+			c.tried = c.tried[:0]
+			d.wake(c.group)
+			d.recheck(c)
+		})
 	}
-	d.host.After(min(left, holdPoll), func() {
-		c.tried = c.tried[:0]
-		d.wake(c.group)
-		d.recheck(c)
-	})
 }
 
 // wake looks again at the RPCs held for a group, those of most utility first.
@@ -478,16 +482,13 @@
 	if len(g.held) == 0 {
 		return
 	}
-	queue, now := g.held, d.host.Now()
+	queue, now := slices.DeleteFunc(g.held, func(c *call) bool { return c.ended }), d.host.Now()
 	g.held = nil
 	slices.SortStableFunc(queue, func(a, b *call) int {
 		return cmp.Or(cmp.Compare(b.worth(now), a.worth(now)), cmp.Compare(b.soft, a.soft))
 	})
 	stuck := make([]bool, len(d.methods))
 	for _, c := range queue {
-		if c.ended {
-			continue
-		}
 		if looks := c.looks; !stuck[c.Method] {
 			if m := d.pick(c); m != nobody {
 				c.held = false
@@ -567,6 +568,7 @@
 		return
 	}
 	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
+	c.reached = c.reached || r.Cause != NoConnect
 	if d.host.Now() < d.scarce && d.out[m] == 0 && r.Cause != NoConnect {
 		d.host.CloseIdle(d.ids[m])
 	}
@@ -588,18 +590,17 @@
 	if r.Proof == MayHaveRun && c.risk == 0 {
 		c.risk, c.riskZone = sent, d.zone[m]
 	}
-	if len(c.out) > 0 {
-		return
-	}
 	over := c.started || c.tries >= d.allowed.CallOuts || d.host.Now() >= c.deadline
-	if over || !d.mayRepeat(c, m) || r.Proof == MayHaveRun && d.spare < 1 {
+	switch {
+	case len(c.out) > 0:
+	case over || !d.mayRepeat(c, m) || r.Proof == MayHaveRun && d.spare < 1:
 		d.finish(c)
-		return
-	}
-	if r.Proof == MayHaveRun {
-		d.spare--
+	default:
+		if r.Proof == MayHaveRun {
+			d.spare--
+		}
+		d.step(c)
 	}
-	d.step(c)
 }
 
 // remember keeps a session's last commit. Those of long ago are dropped, the newest of them holds for all.
@@ -672,14 +673,13 @@
 	case d.strain[m] > strained:
 		d.room[m] = max(1, d.room[m]*0.95)
 		d.back[m] = false
-	case !ok:
-	case d.back[m]:
+	case ok && d.back[m]:
 		d.room[m] *= 2
 		if d.room[m] >= d.first {
 			d.back[m] = false
 			d.logf("back member=%d room=%.0f", d.ids[m], d.room[m])
 		}
-	case float64(d.out[m])+2 >= d.room[m]:
+	case ok && float64(d.out[m])+2 >= d.room[m]:
 		d.room[m] += 0.5 / d.room[m]
 	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -75,6 +75,7 @@
 	risk                 int64 // when the first call-out that may have run was sent, 0 for none
 	riskZone             string
 	held, started, ended bool   // started: its answer has begun to stream
+	reached              bool   // a member got a call-out for it
 	looked               member // the replica probed for it last
 	looks                int
 	lot                  float64 // drawn once, for whether it may go to a strained primary
