--- a/cmd/sedgespread/main.go
+++ b/cmd/sedgespread/main.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	posting.Limit()
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableColors: true})
 	return program.Run(ctx, posting, log.WithField("driver", posting.Name))
--- a/internal/program/duties.go
+++ b/internal/program/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"sedgespread/internal/protocol"
 	"sedgespread/internal/routing"
@@ -28,11 +29,13 @@
 	}
 }
 
+var loadQuery = []string{protocol.LoadQuery}
+
 // look probes a member.
 func (p *Program) look(d routing.Look) {
 	by, stop := context.WithTimeoutCause(p.life, p.posting.ConnectWithin, transport.TimedOut)
 	defer stop()
-	o := p.pools.ask(by, d.Member, d.Address, func() string { return protocol.LoadQuery })
+	o := p.pools.ask(by, d.Member, d.Address, func(time.Duration) []string { return loadQuery })
 	p.router.ReportLook(d.Member, o)
 	p.ready.looked(d.Member)
 }
--- a/internal/program/lobby.go
+++ b/internal/program/lobby.go
@@ -39,8 +39,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for seat := l.idle.Front(); seat != nil; seat = seat.Next() {
-		if c := seat.Value.(protocol.Client); c.Buffered() == 0 && c.End() == transport.Open {
-			c.Close(transport.Evicted)
+		if seat.Value.(protocol.Client).Part(transport.Evicted) {
+			l.idle.Remove(seat)
 			return
 		}
 	}
@@ -52,8 +52,6 @@
 	defer l.mu.Unlock()
 	l.leaving = true
 	for seat := l.idle.Front(); seat != nil; seat = seat.Next() {
-		if c := seat.Value.(protocol.Client); c.Buffered() == 0 {
-			c.Close(transport.ShutDown)
-		}
+		seat.Value.(protocol.Client).Part(transport.ShutDown)
 	}
 }
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -1,7 +1,9 @@
 package program
 
 import (
+	"fmt"
 	"net"
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
@@ -13,7 +15,7 @@
 // peers are the fellow drivers, reached by datagrams.
 type peers struct {
 	socket  *net.UDPConn
-	all     *net.UDPAddr
+	all     netip.AddrPort
 	log     logrus.FieldLogger
 	dropped atomic.Int64
 }
@@ -23,17 +25,17 @@
 	if listen == "" || all == "" {
 		return &peers{}, nil
 	}
-	here, err := net.ResolveUDPAddr("udp", listen)
+	to, err := netip.ParseAddrPort(all)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("peers_all: %w", err)
 	}
-	to, err := net.ResolveUDPAddr("udp", all)
+	here, err := netip.ParseAddrPort(listen)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	socket, err := net.ListenUDP("udp", here)
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(here))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return &peers{socket: socket, all: to, log: log}, nil
 }
@@ -41,7 +43,7 @@
 // spread sends a message to all fellow drivers. One that can't be sent is lost, as it might be on its way.
 func (p *peers) spread(message []byte) {
 	if p.socket != nil {
-		p.socket.WriteToUDP(message, p.all)
+		p.socket.WriteToUDPAddrPort(message, p.all)
 	}
 }
 
@@ -52,7 +54,7 @@
 	}
 	buffer := make([]byte, protocol.MessageBytes+1)
 	for {
-		n, from, err := p.socket.ReadFromUDP(buffer)
+		n, from, err := p.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -34,14 +34,19 @@
 	return &pools{life: life, d: d, connectWithin: connectWithin, idleFor: idleFor, idle: map[rules.MemberID][]link{}}
 }
 
-// ask sends a statement to a member and waits for what comes of it.
+// ask sends a statement to a member and waits for what comes of it. The statement is told how long that may take.
 func (p *pools) ask(by context.Context, to rules.MemberID, address string,
-	statement func() string) routing.Outcome {
+	statement func(within time.Duration) []string) routing.Outcome {
 	l, end := p.take(by, to, address)
 	if end != transport.Open {
 		return routing.Outcome{End: end}
 	}
-	answer, sent, end := l.Ask(by, statement())
+	if end := transport.EndOf(by); end != transport.Open { // it ended meanwhile: nothing may be sent for it any more
+		p.give(to, l)
+		return routing.Outcome{End: end}
+	}
+	deadline, _ := by.Deadline()
+	answer, sent, end := l.Ask(by, statement(time.Until(deadline))...)
 	if end == transport.Open {
 		p.give(to, l)
 	}
@@ -78,10 +83,10 @@
 // prune lets go of idle connections that have ended or are unwanted. The lock is held.
 func (p *pools) prune(to rules.MemberID, unwanted func(link) bool) {
 	p.idle[to] = slices.DeleteFunc(p.idle[to], func(l link) bool {
-		if unwanted(l) {
+		if unwanted(l) || !l.Idle() {
 			l.Close(transport.Evicted)
 		}
-		return l.End() != transport.Open
+		return !l.Idle()
 	})
 }
 
@@ -107,7 +112,7 @@
 	var oldest link
 	for _, links := range p.idle {
 		for _, l := range links {
-			if l.End() == transport.Open && (oldest.Conn == nil || l.since.Before(oldest.since)) {
+			if l.Idle() && (oldest.Conn == nil || l.since.Before(oldest.since)) {
 				oldest = l
 			}
 		}
--- a/internal/program/posting.go
+++ b/internal/program/posting.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"time"
@@ -53,6 +55,9 @@
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
 	p.Name, p.Listen, p.Discovery = env("GW_NAME"), env("GW_LISTEN"), env("GW_DISCOVERY")
+	if _, _, err := net.SplitHostPort(p.Discovery); err != nil {
+		return nil, fmt.Errorf("GW_DISCOVERY: %w", err)
+	}
 	return p, nil
 }
 
@@ -116,5 +121,11 @@
 func decode(text []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.UseNumber()
-	return d.Decode(into)
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if d.More() {
+		return errors.New("something follows the object")
+	}
+	return nil
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"runtime"
 	"runtime/debug"
@@ -38,10 +39,14 @@
 	heapShare = 0.7 // of the memory allowed
 )
 
+// Limit tells the runtime what this process may use.
+func (p *Posting) Limit() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * heapShare))
+}
+
 // Run serves until the context ends, and then leaves in good order.
 func Run(ctx context.Context, posting *Posting, log logrus.FieldLogger) error {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(posting.Cores))))
-	debug.SetMemoryLimit(int64(float64(posting.MemoryMB<<20) * heapShare))
 	life, die := context.WithCancelCause(context.Background())
 	defer die(transport.ShutDown)
 	p := &Program{posting: posting, log: log, life: life, lobby: newLobby(),
@@ -58,7 +63,7 @@
 	defer p.peers.close()
 	door, err := transport.Listen(posting.Listen, p.descriptors, protocol.MostBytes)
 	if err != nil {
-		return err
+		return fmt.Errorf("GW_LISTEN: %w", err)
 	}
 	defer door.Close()
 	return p.serve(ctx, die, door)
@@ -67,17 +72,15 @@
 // serve works until the context ends, leaves, and then lets everything end.
 func (p *Program) serve(ctx context.Context, die context.CancelCauseFunc, door *transport.Listener) error {
 	var sessions errgroup.Group
-	background, rest := context.WithCancel(p.life)
-	defer rest()
-	p.tasks.Go(func() error { return p.duties(background) })
+	p.tasks.Go(func() error { return p.duties(p.life) })
 	p.tasks.Go(func() error { p.peers.hear(p.router); return nil })
 	sessions.Go(func() error { return p.welcome(door, &sessions) })
-	p.log.WithField("listen", door.Address()).Info("serving")
+	p.log.WithField("listen", p.posting.Listen).Info("serving")
 	<-ctx.Done()
 	p.leave(door, &sessions)
-	rest()
 	die(transport.ShutDown)
 	p.peers.close()
+	sessions.Wait()
 	return p.tasks.Wait()
 }
 
--- /dev/null
+++ b/internal/program/program_test.go
@@ -0,0 +1,267 @@
+package program_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against the ordinary path: statements reach a member as they came, but for d, and answers come back.
+func TestServes(t *testing.T) {
+	primary, replica := newMember(t, "p", "leader"), newMember(t, "r", "follower")
+	c := start(t, newDiscovery(t, primary, replica), nil).client(t)
+	require.Equal(t, "empty", c.ask(t, " ;"))
+	read := statement("read", 1000)
+	require.Equal(t, "from r", c.ask(t, read))
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+	got := replica.statements()[0]
+	before, after, _ := strings.Cut(read, "d=1000")
+	require.True(t, strings.HasPrefix(got, before) && strings.HasSuffix(got, after), got)
+	require.NotEqual(t, read, got, "d is what is left")
+}
+
+// Guards against answers that come in another order than their queries.
+func TestQueriesBehindOneAnother(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	c := start(t, newDiscovery(t, primary), nil).client(t)
+	for _, q := range []string{statement("write", 1000), "", "nonsense", statement("write", 1000)} {
+		c.send(q)
+	}
+	for _, want := range []string{"from p", "empty", "42601", "from p"} {
+		require.Equal(t, want, c.reply(t))
+	}
+}
+
+// Guards against one bad client that costs others their connections, and against its statements reaching a member.
+func TestBadClients(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	v := start(t, newDiscovery(t, primary), nil)
+	good := v.client(t)
+	for query, want := range map[string]string{
+		"SELECT 1": "42601",
+		"SELECT 'k' /* id=1,c=neither,d=5,cluster=1 */": "42601",
+		"SELECT 'k' /* id=1,c=read,d=,cluster=1 */":     "42601",
+	} {
+		require.Equal(t, want, v.client(t).ask(t, query))
+	}
+	for text, want := range map[string]string{
+		said("y", "what"):      "fatal 08P01 end",
+		"Q\x00\x00\x00\x01":    "fatal 08P01 end",
+		"Q\x7f\xff\xff\xff":    "fatal 08P01 end",
+		said("X", ""):          "end",
+		"Q\x00\x00\x00\x20cut": "end",
+	} {
+		bad := v.client(t)
+		io.WriteString(bad, text)
+		if strings.HasSuffix(text, "cut") {
+			bad.Conn.(*net.TCPConn).CloseWrite()
+		}
+		require.Equal(t, want, bad.reply(t), "%q", text)
+	}
+	require.Equal(t, "53300", good.ask(t, strings.Replace(statement("read", 100), "cluster=1", "cluster=9", 1)))
+	require.Equal(t, "from p", good.ask(t, statement("write", 1000)))
+	require.Len(t, primary.statements(), 1)
+}
+
+// Guards against call-outs whose proof is taken wrongly: a write goes on only where it provably never ran.
+func TestMembersThatFail(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	c := start(t, newDiscovery(t, primary), nil).client(t)
+	for _, step := range []struct{ act, answer string }{
+		{"reset", "08007"},  // after its last byte: it may have run
+		{"XX000", "08007"},  // it may have run
+		{"silent", "08007"}, // it may have run, or may yet
+		{"53300", "53300"},  // it never ran: repeated, then pushed back
+		{"", "from p"},
+	} {
+		primary.does(step.act)
+		before := len(primary.statements())
+		begun := time.Now()
+		require.Equal(t, step.answer, c.ask(t, statement("write", 300)), step.act)
+		require.Less(t, time.Since(begun), 400*time.Millisecond, "an answer within the client's time")
+		if step.answer == "08007" {
+			require.Len(t, primary.statements(), before+1, "%s: not sent again", step.act)
+		}
+	}
+}
+
+// Guards against reads lost with a member that others could have answered, and against silent members that hold
+// up RPCs on others.
+func TestReadsMoveOn(t *testing.T) {
+	one, other := newMember(t, "a", "follower"), newMember(t, "b", "follower")
+	v := start(t, newDiscovery(t, one, other), nil)
+	c := v.client(t)
+	for _, act := range []string{"silent", "reset", "72000"} {
+		one.does(act)
+		for range 6 {
+			require.Equal(t, "from b", c.ask(t, statement("read", 2000)), act)
+		}
+	}
+	one.die()
+	for range 6 { // its idle connections end before they are used, new ones are refused
+		require.Equal(t, "from b", c.ask(t, statement("read", 2000)))
+	}
+}
+
+// Guards against work sent to a member after the watch told that it drains.
+func TestDrains(t *testing.T) {
+	one, other := newMember(t, "a", "follower"), newMember(t, "b", "follower")
+	d := newDiscovery(t, one, other)
+	c := start(t, d, nil).client(t)
+	if c.ask(t, statement("read", 1000)) == "from b" {
+		one, other = other, one
+	}
+	eventually(t, "the list is watched", func() bool { return d.calls() == 2 })
+	d.set(one, "DRAINING", false)
+	eventually(t, "the watch goes on", func() bool { return d.calls() == 3 })
+	before := len(one.statements())
+	for range 30 {
+		require.Equal(t, "from "+other.name, c.ask(t, statement("read", 1000)))
+	}
+	require.Len(t, one.statements(), before)
+}
+
+// Guards against a driver that is of no use, or asks without a pause, while discovery is down.
+func TestDiscoveryDown(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	d := newDiscovery(t, primary)
+	d.set(nil, "", true)
+	c := start(t, d, nil).client(t)
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+	require.Equal(t, 1, d.calls())
+	eventually(t, "it is asked again", func() bool { return d.calls() >= 2 })
+	d.set(primary, "DRAINING", false)
+	eventually(t, "the list is told", func() bool { return c.ask(t, statement("write", 50)) == "53300" })
+}
+
+// Guards against work that goes on for a client that has gone, on connections that others could use.
+func TestClientLeaves(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	v := start(t, newDiscovery(t, primary), nil)
+	primary.does("silent")
+	c := v.client(t)
+	c.send(statement("write", 2000))
+	eventually(t, "the call-out is out", func() bool { return len(primary.statements()) == 1 })
+	c.Close()
+	primary.does("")
+	require.Equal(t, "from p", v.client(t).ask(t, statement("write", 1000)))
+}
+
+// Guards against descriptors that run out: clients that ask nothing make room, and those that come are served.
+func TestFewDescriptors(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	v := start(t, newDiscovery(t, primary), func(file map[string]any) {
+		file["limits"].(map[string]any)["sockets"] = 84
+	})
+	for range 100 {
+		require.Equal(t, "from p", v.client(t).ask(t, statement("write", 1000)))
+	}
+}
+
+// Guards against RPCs lost at a planned restart: what was taken is answered, and idle clients are let go.
+func TestTermination(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	d := newDiscovery(t, primary)
+	env := posting(t, d, nil)
+	cmd, stderr := command(t, env)
+	require.NoError(t, cmd.Start())
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	v := &driver{address: env["GW_LISTEN"]}
+	idle, busy := v.client(t), v.client(t)
+	require.Equal(t, "empty", idle.ask(t, ""))
+	primary.does("silent")
+	busy.send(statement("write", 1200))
+	eventually(t, "the call-out is out", func() bool { return len(primary.statements()) == 1 })
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	eventually(t, "it says so", func() bool { return strings.Contains(stderr.String(), "leaving") })
+	primary.does("")
+	require.Equal(t, "from p", v.client(t).ask(t, statement("write", 1000)), "clients that still come are served")
+	require.Equal(t, "end", idle.reply(t))
+	require.Equal(t, "08007", busy.reply(t))
+	require.Equal(t, "end", busy.reply(t))
+	require.NoError(t, <-exited, stderr.String())
+}
+
+// Guards against start-up input that ends in a trace or in silence in place of one plain line.
+func TestBadStart(t *testing.T) {
+	d := newDiscovery(t)
+	set := func(path ...any) func(map[string]any) {
+		return func(file map[string]any) {
+			for _, name := range path[:len(path)-2] {
+				file = file[name.(string)].(map[string]any)
+			}
+			file[path[len(path)-2].(string)] = path[len(path)-1]
+		}
+	}
+	for want, change := range map[string]func(map[string]any){
+		"seed":                              set("seed", "no"),
+		"limits.memory_mb is missing":       set("limits", "memory_mb", nil),
+		"limits.sockets=\"many\"":           set("limits", "sockets", "many"),
+		"settings":                          set("settings", 5),
+		"classes.count is missing":          set("settings", "classes", nil),
+		"classes.0.effect=\"never\"":        set("settings", "classes", []any{map[string]any{"name": "x", "effect": "never", "aimUs": 1}}),
+		"settings: discovery=\"sometimes\"": set("settings", "discovery", "sometimes"),
+		"known: instances.0.lifecycle":      set("known", "instances", []any{map[string]any{"instanceId": "a", "hostPort": "h:1"}}),
+	} {
+		refused(t, posting(t, d, change), want)
+	}
+	for _, name := range []string{"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG"} {
+		env := posting(t, d, nil)
+		delete(env, name)
+		refused(t, env, name+" is missing")
+		if name != "GW_NAME" {
+			env[name] = "nowhere"
+			refused(t, env, name)
+		}
+	}
+}
+
+func refused(t *testing.T, env map[string]string, want string) {
+	cmd, stderr := command(t, env)
+	require.Error(t, cmd.Run())
+	require.Contains(t, stderr.String(), want)
+	require.Equal(t, 1, strings.Count(stderr.String(), "\n"), stderr.String())
+}
+
+var built string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "sedgespread")
+	if err != nil {
+		panic(err)
+	}
+	built = filepath.Join(folder, "sedgespread")
+	if out, err := exec.Command("go", "build", "-o", built, "sedgespread/cmd/sedgespread").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// command is the program as it is built, with an environment of its own.
+func command(t *testing.T, env map[string]string) (*exec.Cmd, *output) {
+	cmd, stderr := exec.Command(built), &output{}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH")}
+	for name, value := range env {
+		cmd.Env = append(cmd.Env, name+"="+value)
+	}
+	cmd.Stderr = stderr
+	t.Cleanup(func() {
+		if cmd.Process != nil {
+			cmd.Process.Kill()
+		}
+	})
+	return cmd, stderr
+}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -17,9 +17,15 @@
 	for end == transport.Open {
 		end = p.query(c)
 	}
+	c.Linger(lingerFor)
 	c.Close(end)
 }
 
+const (
+	lingerFor    = 200 * time.Millisecond // a client may take to read what it was sent before its connection closes
+	longestWrite = 5 * time.Second        // a client may take to take its answer, past its own time
+)
+
 // query serves the client's next query.
 func (p *Program) query(c protocol.Client) transport.End {
 	seat := p.lobby.enter(c)
@@ -31,7 +37,7 @@
 	if end != transport.Open {
 		return end
 	}
-	c.WriteBy(time.Time{})
+	c.WriteBy(time.Now().Add(longestWrite))
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return p.emptyQuery(c)
 	}
@@ -82,13 +88,9 @@
 	}
 }
 
-// longestWrite is how long a client may take to take its answer, past its own time.
-const longestWrite = 5 * time.Second
-
 // callOut makes a call-out. The member is told how long this driver waits.
 func (p *Program) callOut(step routing.Step, s *protocol.Statement) routing.Outcome {
-	deadline, _ := step.By.Deadline()
-	return p.pools.ask(step.By, step.Member, step.Address, func() string {
-		return s.Within(max(1, time.Until(deadline).Milliseconds()))
+	return p.pools.ask(step.By, step.Member, step.Address, func(within time.Duration) []string {
+		return s.Within(max(1, within.Milliseconds()))
 	})
 }
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 
 	"sedgespread/internal/transport"
 )
@@ -22,19 +23,21 @@
 	for {
 		code, end := c.startup()
 		switch {
+		case end == transport.Malformed || end == transport.TooLong:
+			return c.reject(StateProtocol, "the startup message's length can't be followed", end)
 		case end != transport.Open:
 			return end
 		case code == tlsRequest || code == gssRequest:
-			if end := c.send([]byte{'N'}); end != transport.Open {
+			c.Write("N")
+			if end := c.Flush(); end != transport.Open {
 				return end
 			}
-		case code == cancelRequest:
+		case code == cancelRequest: // there is nothing to cancel by
 			return transport.ClosedByPeer
-		case code>>16 != 3:
-			c.Refuse(Failure{Fatal: true, State: StateNotSupported, Message: "only protocol version 3 is spoken here"})
-			return transport.Malformed
+		case code>>16 != versionThree>>16:
+			return c.reject(StateNotSupported, "only version 3 of the protocol is spoken here", transport.Malformed)
 		default:
-			return c.send(welcome(code))
+			return c.greet(code)
 		}
 	}
 }
@@ -45,7 +48,7 @@
 		return 0, end
 	}
 	var head [8]byte
-	c.Peek(0, head[:])
+	c.Peek(head[:])
 	length := binary.BigEndian.Uint32(head[:])
 	if length < 8 {
 		return 0, transport.Malformed
@@ -60,65 +63,86 @@
 	return binary.BigEndian.Uint32(head[4:]), transport.Open
 }
 
-func welcome(code uint32) []byte {
-	var b []byte
-	if minor := code & 0xffff; minor > 0 { // only 3.0 is spoken
-		b = appendMessage(b, 'v', "\x00\x00\x00\x00", "\x00\x00\x00\x00")
+// greet says that the session may begin.
+func (c Client) greet(code uint32) transport.End {
+	if code > versionThree { // a later minor version: 3.0 is what is spoken
+		put(c.Conn, kindVersion, "\x00\x03\x00\x00", "\x00\x00\x00\x00")
 	}
-	b = appendMessage(b, kindAuthentication, "\x00\x00\x00\x00")
+	put(c.Conn, kindAuthentication, "\x00\x00\x00\x00")
 	for _, p := range [][2]string{{"server_version", "16.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
 		{"standard_conforming_strings", "on"}} {
-		b = appendMessage(b, kindParameter, p[0], "\x00", p[1], "\x00")
+		put(c.Conn, kindParameter, p[0], "\x00", p[1], "\x00")
 	}
-	return appendMessage(b, kindReady, "I")
+	return c.ready()
 }
 
-// Query waits for the next query. An unknown message of PostgreSQL's extended kind is answered and ends it.
+// Query waits for the next query. Queries of the extended kind are answered with an error each.
 func (c Client) Query() (text string, end transport.End) {
-	m, end := readMessage(c.Conn)
-	if end == transport.TooLong || end == transport.Malformed {
-		c.Refuse(Failure{Fatal: true, State: StateProtocol, Message: "the message's length can't be followed"})
-	}
-	if end != transport.Open {
-		return "", end
-	}
-	switch m.kind {
-	case kindQuery:
-		text, rest, ok := cutString(m.body)
-		if !ok || len(rest) > 0 {
-			c.Refuse(Failure{Fatal: true, State: StateProtocol, Message: "the query is not one string"})
-			return "", transport.Malformed
+	for {
+		m, end := readMessage(c.Conn)
+		switch {
+		case end == transport.TooLong || end == transport.Malformed:
+			return "", c.reject(StateProtocol, "the message's length can't be followed", end)
+		case end != transport.Open:
+			return "", end
+		case m.kind == kindQuery:
+			if at := strings.IndexByte(m.body, 0); at < 0 || at != len(m.body)-1 {
+				return "", c.reject(StateProtocol, "the query is not one string", transport.Malformed)
+			}
+			return m.body[:len(m.body)-1], transport.Open
+		case m.kind == kindTerminate:
+			return "", transport.ClosedByPeer
+		case m.kind == kindSync || strings.IndexByte(kindsExtended, m.kind) < 0:
+			return "", c.reject(StateProtocol, "a message of this kind can't be followed here", transport.Malformed)
+		}
+		if end := c.skipExtended(m.kind); end != transport.Open {
+			return "", end
 		}
-		return text, transport.Open
-	case kindTerminate:
-		return "", transport.ClosedByPeer
 	}
-	c.Refuse(Failure{Fatal: true, State: StateProtocol, Message: "only simple queries are taken"})
-	return "", transport.Malformed
 }
 
-func (c Client) send(b []byte) transport.End {
-	if end := c.Write(b); end != transport.Open {
-		return end
+// skipExtended answers a query of the extended kind, and passes over what belongs to it.
+func (c Client) skipExtended(kind byte) transport.End {
+	putFailure(c.Conn, Failure{State: StateNotSupported, Message: "only simple queries are taken"})
+	for kind != kindSync && kind != kindFunction {
+		m, end := readMessage(c.Conn)
+		if end != transport.Open {
+			return end
+		}
+		kind = m.kind
 	}
+	return c.ready()
+}
+
+// ready says that the next query may come.
+func (c Client) ready() transport.End {
+	put(c.Conn, kindReady, "I")
 	return c.Flush()
 }
 
+// reject answers what can't be followed; nothing comes after it.
+func (c Client) reject(state, text string, end transport.End) transport.End {
+	putFailure(c.Conn, Failure{Fatal: true, State: state, Message: text})
+	c.Flush()
+	return end
+}
+
 // Empty answers an empty query.
 func (c Client) Empty() transport.End {
-	return c.send(appendMessage(appendMessage(nil, kindEmptyQuery), kindReady, "I"))
+	put(c.Conn, kindEmptyQuery)
+	return c.ready()
 }
 
 // Pass passes a member's answer on, as it came.
 func (c Client) Pass(a *Answer) transport.End {
-	return c.send(appendMessage(a.whole, kindReady, "I"))
+	for _, m := range a.messages {
+		c.Write(m.whole)
+	}
+	return c.ready()
 }
 
-// Refuse answers with an error; after a fatal one nothing follows.
+// Refuse answers a query with an error.
 func (c Client) Refuse(f Failure) transport.End {
-	b := appendFailure(nil, f)
-	if !f.Fatal {
-		b = appendMessage(b, kindReady, "I")
-	}
-	return c.send(b)
+	putFailure(c.Conn, f)
+	return c.ready()
 }
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -24,13 +24,13 @@
 
 // Target is one entry of discovery's list.
 type Target struct {
-	ID        string  `json:"instanceId"`
-	Address   string  `json:"hostPort"`
-	Zone      string  `json:"zone"`
-	Group     int64   `json:"cell"`
-	State     string  `json:"lifecycle"`
-	Started   float64 `json:"startedAtMs"`
-	Lifecycle Lifecycle
+	ID        string    `json:"instanceId"`
+	Address   string    `json:"hostPort"`
+	Zone      string    `json:"zone"`
+	Group     int64     `json:"cell"`
+	State     string    `json:"lifecycle"`
+	Started   float64   `json:"startedAtMs"`
+	Lifecycle Lifecycle `json:"-"`
 }
 
 // Targets is discovery's list or, when Whole is false, what changed in it.
@@ -91,7 +91,7 @@
 }
 
 func (d *Discovery) get(life, by context.Context, path string) (t Targets, err error) {
-	if d.c == nil || d.c.End() != transport.Open || d.c.Buffered() > 0 {
+	if d.c == nil || !d.c.Idle() {
 		d.Close(transport.Evicted)
 		c, end := transport.Dial(life, by, d.d, d.address, MostBytes)
 		if end != transport.Open {
@@ -117,7 +117,7 @@
 	c := d.c
 	stop := context.AfterFunc(by, func() { c.Close(transport.EndOf(by)) })
 	defer stop()
-	c.Write(appendGet(nil, d.address, path))
+	c.Write(get(d.address, path))
 	if end := c.Flush(); end != transport.Open {
 		return response{}, end
 	}
--- a/internal/protocol/failure.go
+++ b/internal/protocol/failure.go
@@ -1,6 +1,11 @@
 package protocol
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+
+	"sedgespread/internal/transport"
+)
 
 // States that this driver tells its clients or is told by members.
 const (
@@ -12,7 +17,6 @@
 	StateSyntax         = "42601"
 	StateUnknownOutcome = "08007"
 	StateNotSupported   = "0A000"
-	StateAuthorization  = "28000"
 )
 
 // Failure is what an ErrorResponse says.
@@ -23,27 +27,27 @@
 	Detail  string
 }
 
-func appendFailure(to []byte, f Failure) []byte {
+func putFailure(c *transport.Conn, f Failure) {
 	severity := "ERROR"
 	if f.Fatal {
 		severity = "FATAL"
 	}
-	fields := "S" + severity + "\x00V" + severity + "\x00C" + f.State + "\x00M" + f.Message + "\x00"
+	pieces := []string{"S", severity, "\x00V", severity, "\x00C", f.State, "\x00M", f.Message, "\x00"}
 	if f.Detail != "" {
-		fields += "D" + f.Detail + "\x00"
+		pieces = append(pieces, "D", f.Detail, "\x00")
 	}
-	return appendMessage(to, kindError, fields, "\x00")
+	put(c, kindError, append(pieces, "\x00")...)
 }
 
-// parseFailure reads an ErrorResponse; ok is false when it is not followed or names no state.
-func parseFailure(body []byte) (f Failure, ok bool) {
-	for len(body) > 0 && body[0] != 0 {
-		var text string
+// parseFailure reads an ErrorResponse; ok is false when it can't be followed or names no state.
+func parseFailure(body string) (f Failure, ok bool) {
+	for body != "" && body[0] != 0 {
 		kind := body[0]
-		if text, body, ok = cutString(body[1:]); !ok {
+		text, rest, ok := strings.Cut(body[1:], "\x00")
+		if !ok {
 			return f, false
 		}
-		switch kind {
+		switch body = rest; kind {
 		case 'S':
 			f.Fatal = text == "FATAL" || text == "PANIC"
 		case 'C':
@@ -54,7 +58,7 @@
 			f.Detail = text
 		}
 	}
-	return f, len(body) == 1 && len(f.State) == 5
+	return f, body == "\x00" && len(f.State) == 5
 }
 
 // PushBack says that trying again is harmless, and when, if that is known.
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -20,8 +20,8 @@
 	last   bool // the connection can't be used again
 }
 
-func appendGet(to []byte, host, path string) []byte {
-	return append(to, "GET "+path+" HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"...)
+func get(host, path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n"
 }
 
 // readResponse waits for a whole response.
@@ -156,7 +156,7 @@
 			return "", end
 		}
 		held := make([]byte, min(c.Buffered(), mostHead))
-		c.Peek(0, held)
+		c.Peek(held)
 		if i := bytes.IndexByte(held, '\n'); i >= 0 {
 			c.Read(held[:i+1])
 			return strings.TrimSuffix(string(held[:i]), "\r"), transport.Open
--- a/internal/protocol/member.go
+++ b/internal/protocol/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"strconv"
 	"strings"
 
@@ -17,13 +16,12 @@
 	Failure  *Failure // nil for a whole row
 	Primary  bool
 	Replica  bool
-	Position int64  // milliseconds, 0 when not told
-	Load     string // the load report
-	whole    []byte // the row as it came
-	rows     int
+	Position int64     // milliseconds, 0 when not told
+	messages []message // the row as it came
 }
 
-const startupText = "user\x00backend\x00database\x00store\x00\x00"
+// startup is the startup message: its length, the version, and who asks for what.
+const startup = "\x00\x00\x00\x25\x00\x03\x00\x00user\x00backend\x00database\x00store\x00\x00"
 
 // Connect opens a connection to a member and waits until it is ready, until by ends.
 func Connect(life, by context.Context, d *transport.Descriptors, address string) (Member, transport.End) {
@@ -33,9 +31,7 @@
 	}
 	m := Member{c}
 	defer m.endBy(by)()
-	b := binary.BigEndian.AppendUint32(nil, uint32(8+len(startupText)))
-	b = append(binary.BigEndian.AppendUint32(b, versionThree), startupText...)
-	m.Write(b)
+	m.Write(startup)
 	if end = m.Flush(); end == transport.Open {
 		end = m.greeted()
 	}
@@ -65,30 +61,22 @@
 		case kindError:
 			return transport.TurnedAway
 		case kindAuthentication:
-			if len(msg.body) != 4 || binary.BigEndian.Uint32(msg.body) != 0 {
+			if msg.body != "\x00\x00\x00\x00" {
 				return transport.Malformed
 			}
-		case kindParameter, kindNotice, kindBackendKey, 'v':
+		case kindParameter, kindNotice, kindBackendKey, kindVersion:
 		default:
 			return transport.Malformed
 		}
 	}
 }
 
-// Ask sends a statement and waits for its answer until by ends. Sent tells whether its last byte was written.
-// The connection is still good when end is Open; an answer may be whole even where it is not.
-func (m Member) Ask(by context.Context, statement string) (a *Answer, sent bool, end transport.End) {
+// Ask sends a statement, given in pieces, and waits for its answer until by ends. Sent tells whether its last byte
+// was written. The connection is still good when end is Open; an answer may be whole even where it is not.
+func (m Member) Ask(by context.Context, statement ...string) (a *Answer, sent bool, end transport.End) {
 	defer m.endBy(by)()
-	if m.Buffered() > 0 {
-		m.Close(transport.Malformed) // it speaks out of turn
-	}
-	if end = m.End(); end != transport.Open {
-		return nil, false, end
-	}
-	if end = m.Write(appendMessage(nil, kindQuery, statement, "\x00")); end == transport.Open {
-		end = m.Flush()
-	}
-	if end != transport.Open {
+	put(m.Conn, kindQuery, append(statement, "\x00")...)
+	if end = m.Flush(); end != transport.Open {
 		return nil, false, end
 	}
 	a = &Answer{}
@@ -97,7 +85,7 @@
 		m.Close(end)
 	}
 	if !whole {
-		return nil, true, m.End()
+		a = nil
 	}
 	return a, true, m.End()
 }
@@ -135,37 +123,27 @@
 
 // take takes in a message of the answer itself, and tells whether it fits.
 func (a *Answer) take(m message) bool {
-	switch m.kind {
-	case kindError:
+	if m.kind == kindError {
 		f, ok := parseFailure(m.body)
 		a.Failure = &f
-		return ok
-	case kindRowDescription:
-		if len(a.whole) > 0 || len(m.body) < 2 || binary.BigEndian.Uint16(m.body) != 1 {
-			return false
-		}
-	case kindDataRow:
-		if a.rows++; a.rows > 1 || len(a.whole) == 0 || len(m.body) < 2 || binary.BigEndian.Uint16(m.body) != 1 {
-			return false
-		}
-	case kindCommandComplete:
-		if a.rows != 1 {
-			return false
-		}
-	default:
-		return false
+		return ok && len(a.messages) < len(rowKinds)
 	}
-	a.whole = appendMessage(a.whole, m.kind, string(m.body))
-	return true
+	a.messages = append(a.messages, m)
+	n := len(a.messages)
+	oneColumn := m.kind == kindCommandComplete || strings.HasPrefix(m.body, "\x00\x01")
+	return n <= len(rowKinds) && m.kind == rowKinds[n-1] && oneColumn
 }
 
+// rowKinds are the messages of an answer with one row.
+const rowKinds = "TDC"
+
 // parameter takes in a ParameterStatus.
-func (a *Answer) parameter(body []byte) bool {
-	name, rest, ok := cutString(body)
-	if !ok {
+func (a *Answer) parameter(body string) bool {
+	name, rest, ok := strings.Cut(body, "\x00")
+	value, rest, whole := strings.Cut(rest, "\x00")
+	if !ok || !whole || rest != "" {
 		return false
 	}
-	value, _, ok := cutString(rest)
 	switch name {
 	case "node_role":
 		a.Primary, a.Replica = value == "leader", value == "follower"
@@ -175,23 +153,17 @@
 			return false
 		}
 		a.Position = n
-	case "server_load":
-		a.Load = value
 	}
-	return ok
+	return true
 }
 
-// Text is the row's one value, as text.
+// Text is the row's one value.
 func (a *Answer) Text() string {
-	rest := a.whole
-	for len(rest) >= headerBytes {
-		length := int(binary.BigEndian.Uint32(rest[1:])) + 1
-		if rest[0] == kindDataRow && length > headerBytes+6 {
-			return strings.Clone(string(rest[headerBytes+6 : length]))
-		}
-		rest = rest[length:]
+	const before = 6 // the number of columns and the value's length
+	if len(a.messages) < 2 || len(a.messages[1].body) < before {
+		return ""
 	}
-	return ""
+	return a.messages[1].body[before:]
 }
 
 // LoadQuery is the probe that brings a load report.
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"unsafe"
 
 	"sedgespread/internal/transport"
 )
@@ -25,14 +26,19 @@
 	kindReady           = 'Z'
 	kindRowDescription  = 'T'
 	kindTerminate       = 'X'
+	kindVersion         = 'v'
+	kindSync            = 'S' // of a client
+	kindFunction        = 'F'
+	kindsExtended       = "PBEDCHF"
 )
 
 const headerBytes = 5
 
-// message is one message: its kind and what follows the length.
+// message is one message: its kind, what follows the length, and all of it as it came.
 type message struct {
-	kind byte
-	body []byte
+	kind  byte
+	body  string
+	whole string
 }
 
 // readMessage waits for the next message.
@@ -41,7 +47,7 @@
 		return message{}, end
 	}
 	var head [headerBytes]byte
-	c.Peek(0, head[:])
+	c.Peek(head[:])
 	length := int64(binary.BigEndian.Uint32(head[1:]))
 	switch {
 	case length < 4:
@@ -54,28 +60,20 @@
 	}
 	whole := make([]byte, length+1)
 	c.Read(whole)
-	return message{kind: head[0], body: whole[headerBytes:]}, transport.Open
+	text := unsafe.String(&whole[0], len(whole)) // nobody writes to it from here on
+	return message{kind: head[0], body: text[headerBytes:], whole: text}, transport.Open
 }
 
-// appendMessage adds a message whose body is the pieces one after another.
-func appendMessage(to []byte, kind byte, pieces ...string) []byte {
+// put writes a message whose body is the pieces one after another.
+func put(c *transport.Conn, kind byte, pieces ...string) {
 	length := 4
 	for _, p := range pieces {
 		length += len(p)
 	}
-	to = binary.BigEndian.AppendUint32(append(to, kind), uint32(length))
+	head := [headerBytes]byte{kind}
+	binary.BigEndian.PutUint32(head[1:], uint32(length))
+	c.Write(string(head[:]))
 	for _, p := range pieces {
-		to = append(to, p...)
+		c.Write(p)
 	}
-	return to
-}
-
-// cutString takes a string that ends in a zero byte off the front.
-func cutString(body []byte) (text string, rest []byte, ok bool) {
-	for i, b := range body {
-		if b == 0 {
-			return string(body[:i]), body[i+1:], true
-		}
-	}
-	return "", nil, false
 }
--- a/internal/protocol/statement.go
+++ b/internal/protocol/statement.go
@@ -115,7 +115,7 @@
 	return key.String(), ok
 }
 
-// Within is the statement as it came, but for how long its sender waits.
-func (s *Statement) Within(millis int64) string {
-	return s.before + strconv.FormatInt(millis, 10) + s.behind
+// Within is the statement as it came, in pieces, but for how long its sender waits.
+func (s *Statement) Within(millis int64) []string {
+	return []string{s.before, strconv.FormatInt(millis, 10), s.behind}
 }
--- /dev/null
+++ b/internal/protocol/stream_test.go
@@ -0,0 +1,227 @@
+package protocol
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/transport"
+)
+
+// script is a connection on which a text comes, then its end. What is written is kept.
+type script struct {
+	net.Conn
+	in    *strings.Reader
+	heard strings.Builder
+}
+
+func (s *script) Read(p []byte) (int, error)  { return s.in.Read(p) }
+func (s *script) Write(p []byte) (int, error) { return s.heard.Write(p) }
+func (s *script) Close() error                { return nil }
+
+func feed(text string) (*transport.Conn, *script) {
+	s := &script{in: strings.NewReader(text)}
+	return transport.NewConn(context.Background(), s, MostBytes, func() {}), s
+}
+
+// said is a message as it is on the wire.
+func said(kind byte, body string) string {
+	n := len(body) + 4
+	return string([]byte{kind, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}) + body
+}
+
+const (
+	hello = "\x00\x00\x00\x08\x00\x03\x00\x00"
+	row   = "T\x00\x00\x00\x08\x00\x01v\x00D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x01xC\x00\x00\x00\x06S\x00"
+	ready = "Z\x00\x00\x00\x05I"
+	told  = "S\x00\x00\x00\x15node_role\x00leader\x00" + "S\x00\x00\x00\x16replay_position\x007\x00"
+)
+
+// Guards against clients whose messages can't be followed, and against losing those that can be.
+func TestClientStreams(t *testing.T) {
+	for _, c := range []struct {
+		text, query, answer string
+		end                 transport.End
+	}{
+		{hello + said('Q', "one\x00"), "one", "", transport.Open},
+		{"\x00\x00\x00\x08\x04\xd2\x16\x2f" + hello + said('Q', "one\x00"), "one", "N", transport.Open},
+		{hello + said('P', "x") + said('B', "") + said('S', "") + said('Q', "two\x00"), "two", StateNotSupported, transport.Open},
+		{hello + said('X', ""), "", "", transport.ClosedByPeer},
+		{hello + said('Q', "one"), "", StateProtocol, transport.Malformed},
+		{hello + said('Q', "o\x00ne\x00"), "", StateProtocol, transport.Malformed},
+		{hello + said('y', ""), "", StateProtocol, transport.Malformed},
+		{hello + "Q\x00\x00\x00\x03", "", StateProtocol, transport.Malformed},
+		{hello + "Q\x7f\x00\x00\x00", "", StateProtocol, transport.TooLong},
+		{hello + "Q\x00\x00\x00\x09one", "", "", transport.CutShort},
+		{"\x00\x00\x00\x07", "", "", transport.CutShort},
+		{"\x00\x00\x00\x07\x00\x03\x00\x00", "", StateProtocol, transport.Malformed},
+		{"\x00\x00\x00\x08\x00\x02\x00\x00", "", StateNotSupported, transport.Malformed},
+	} {
+		conn, s := feed(c.text)
+		client := Client{conn}
+		query, end := "", client.Welcome()
+		if end == transport.Open {
+			query, end = client.Query()
+		}
+		require.Equal(t, c.end, end, "%q", c.text)
+		require.Equal(t, c.query, query)
+		require.Contains(t, s.heard.String(), c.answer)
+	}
+}
+
+// Guards against replies of members taken for whole that are not, and the other way round.
+func TestAnswers(t *testing.T) {
+	refused := said('E', "SERROR\x00C25006\x00Mno\x00\x00")
+	for text, want := range map[string]struct {
+		whole bool
+		state string
+		end   transport.End
+	}{
+		row + told + ready:                      {true, "", transport.Open},
+		row:                                     {true, "", transport.ClosedByPeer},
+		row + row + ready:                       {true, "", transport.Malformed},
+		row[:len(row)-1]:                        {false, "", transport.CutShort},
+		row[:9] + ready:                         {false, "", transport.Malformed},
+		ready:                                   {false, "", transport.Malformed},
+		said('N', "x") + refused + told + ready: {true, "25006", transport.Open},
+		said('E', "SFATAL\x00C53300\x00\x00"):   {true, "53300", transport.ClosedByPeer},
+		said('E', "SERROR\x00"):                 {false, "", transport.Malformed},
+		row + said('S', "replay_position\x00-7\x00"): {true, "", transport.Malformed},
+		"D\xff\xff\xff\xff":                          {false, "", transport.TooLong},
+		said('T', "\x00\x02") + ready:                {false, "", transport.Malformed},
+		"":                                           {false, "", transport.ClosedByPeer},
+	} {
+		conn, _ := feed(text)
+		a := &Answer{}
+		whole, end := a.read(conn)
+		require.Equal(t, want.whole, whole, "%q", text)
+		require.Equal(t, want.end, end, "%q", text)
+		if want.whole && want.state == "" {
+			require.Nil(t, a.Failure)
+			require.Equal(t, "x", a.Text())
+		} else if want.whole {
+			require.Equal(t, want.state, a.Failure.State)
+		}
+		conn.Close(transport.ShutDown)
+	}
+}
+
+// Guards against answers that are changed on their way.
+func TestAnswersPassUnaltered(t *testing.T) {
+	conn, _ := feed(row + told + ready)
+	a := &Answer{}
+	_, end := a.read(conn)
+	require.Equal(t, transport.Open, end)
+	require.True(t, a.Primary)
+	require.EqualValues(t, 7, a.Position)
+	conn, client := feed("")
+	require.Equal(t, transport.Open, Client{conn}.Pass(a))
+	require.Equal(t, row+ready, client.heard.String())
+}
+
+// Guards against discovery's replies in any of HTTP's framings, and against broken ones.
+func TestResponses(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for text, want := range map[string]struct {
+		body string
+		end  transport.End
+	}{
+		ok + "Content-Length: 2\r\n\r\n{}":                                       {"{}", transport.Open},
+		ok + "Transfer-Encoding: chunked\r\n\r\n1;x\r\n{\r\n1\r\n}\r\n0\r\n\r\n": {"{}", transport.Open},
+		ok + "Connection: close\r\n\r\n{}":                                       {"{}", transport.Open},
+		ok + "Content-Length: 3\r\n\r\n{}":                                       {"{}", transport.CutShort},
+		ok + "Content-Length: -3\r\n\r\n{}":                                      {"", transport.Malformed},
+		ok + "Content-Length: 99999999\r\n\r\n{}":                                {"", transport.TooLong},
+		ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":                          {"", transport.Malformed},
+		ok + "nothing\r\n\r\n":                                                   {"", transport.Malformed},
+		"HTTP/1.1 two hundred\r\n\r\n":                                           {"", transport.Malformed},
+		"SSH-2.0\r\n":                                                            {"", transport.Malformed},
+		strings.Repeat("x", mostHead+1):                                          {"", transport.TooLong},
+		"":                                                                       {"", transport.ClosedByPeer},
+	} {
+		conn, _ := feed(text)
+		r, end := readResponse(conn)
+		require.Equal(t, want.end, end, "%.80q", text)
+		require.Equal(t, want.body, string(r.body), "%.80q", text)
+		conn.Close(transport.ShutDown)
+	}
+}
+
+// Guards against a list that is taken in though it can't be right.
+func TestTargetsRefused(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"instances":[{"hostPort":"h:1","lifecycle":"SERVING"}]}`:                                   "instanceId is missing",
+		`{"instances":[{"instanceId":"a","lifecycle":"SERVING"}]}`:                                   "hostPort is missing",
+		`{"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"GONE"}]}`:                     "GONE",
+		`{"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"SERVING","startedAtMs":-1}]}`: "startedAtMs",
+		`{"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"SERVING","cell":"two"}]}`:     "cell",
+		`{"instances":`: "unexpected end",
+	} {
+		_, err := ParseTargets([]byte(text))
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func FuzzClient(f *testing.F) {
+	f.Add(hello + said('Q', "one\x00") + said('P', "") + said('S', "") + said('X', ""))
+	f.Add("\x00\x00\x00\x08\x04\xd2\x16\x2f" + hello + "Q\x00\x00\x00\x03")
+	f.Fuzz(func(t *testing.T, text string) {
+		conn, _ := feed(text)
+		client := Client{conn}
+		for end := client.Welcome(); end == transport.Open; {
+			_, end = client.Query()
+		}
+	})
+}
+
+func FuzzMember(f *testing.F) {
+	f.Add(row + told + ready)
+	f.Add(said('E', "SFATAL\x00C53300\x00Mno\x00Dx\x00\x00"))
+	f.Fuzz(func(t *testing.T, text string) {
+		conn, _ := feed(text)
+		a := &Answer{}
+		if whole, _ := a.read(conn); whole && a.Failure == nil {
+			require.Len(t, a.messages, len(rowKinds))
+			a.Text()
+		}
+		Member{conn}.greeted()
+	})
+}
+
+func FuzzDiscovery(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+	f.Add("HTTP/1.0 200 OK\r\n\r\n" + `{"generation":4,"reset":true,"instances":[{"instanceId":"a","hostPort":"b:1","lifecycle":"SERVING"}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		conn, _ := feed(text)
+		r, _ := readResponse(conn)
+		ParseTargets(r.body)
+	})
+}
+
+// Guards against news that mean something else at the driver that hears them.
+func FuzzNews(f *testing.F) {
+	one := News{Member: 1 << 48, Role: 2, Position: 1767225600123, Took: 81}
+	f.Add(string(AppendNews(nil, one)))
+	f.Add(string(AppendNews(AppendNews(nil, News{}), one)))
+	f.Add("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff")
+	f.Fuzz(func(t *testing.T, text string) {
+		news, ok := ParseNews([]byte(text))
+		if !ok {
+			return
+		}
+		var again []byte
+		for _, n := range news {
+			before := len(again)
+			again = AppendNews(again, n)
+			require.LessOrEqual(t, len(again)-before, newsBytes)
+		}
+		same, ok := ParseNews(again)
+		require.True(t, ok || len(again) > MessageBytes)
+		if ok {
+			require.Equal(t, news, same)
+		}
+	})
+}
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sedgespread/internal/briefing"
 	"sedgespread/internal/protocol"
 	"sedgespread/internal/transport"
 	"sedgespread/rules"
@@ -65,6 +66,26 @@
 	return verdict{rules.NeverRan, cause}
 }
 
+// found is what a probe found. A member that has no session to spare lives.
+func (o Outcome) found() rules.ProbeResult {
+	if o.End == transport.TurnedAway {
+		return rules.ProbeResult{Cause: rules.Full}
+	}
+	return rules.ProbeResult{Cause: o.verdict().cause, Sighting: o.reported()}
+}
+
+// reported is what a probe's load report shows, or else its answer.
+func (o Outcome) reported() rules.Sighting {
+	if o.Answer != nil && o.Answer.Failure == nil {
+		var load briefing.Parts
+		load.Parse("report,"+o.Answer.Text(), ",", "=")
+		if s := load.Sighting(0); load.Err == nil && s.Role != rules.RoleUnknown {
+			return s
+		}
+	}
+	return o.sighting()
+}
+
 // sighting is what an answer shows of its member.
 func (o Outcome) sighting() (s rules.Sighting) {
 	if o.Answer == nil {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -102,19 +102,11 @@
 
 // ReportLook reports what a probe found.
 func (r *Router) ReportLook(to rules.MemberID, o Outcome) {
-	found := rules.ProbeResult{Cause: o.verdict().cause, Sighting: o.sighting()}
-	if o.Answer != nil && o.Answer.Failure == nil {
-		var load briefing.Parts
-		load.Parse("report,"+o.Answer.Text(), ",", "=")
-		if s := load.Sighting(0); load.Err == nil && s.Role != rules.RoleUnknown {
-			found.Sighting = s
-		}
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	waiting := r.looks[to]
 	r.looks[to] = waiting[1:]
-	waiting[0](found)
+	waiting[0](o.found())
 }
 
 // Tick waits until something falls due that no RPC asks for, and gives it. Meanwhile the module's timers run.
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/briefing"
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/transport"
+	"sedgespread/rules"
+)
+
+// Guards against an effect done twice because an end was taken for a proof that it never ran, and against
+// members blamed for what they did not do.
+func TestVerdicts(t *testing.T) {
+	failed := func(state string) Outcome {
+		return Outcome{Sent: true, Answer: &protocol.Answer{Failure: &protocol.Failure{State: state}}}
+	}
+	for _, c := range []struct {
+		o     Outcome
+		proof rules.Proof
+		cause rules.Cause
+	}{
+		{Outcome{Sent: true, Answer: &protocol.Answer{}}, rules.OK, rules.NoCause},
+		{Outcome{Sent: true, Answer: &protocol.Answer{}, End: transport.ResetByPeer}, rules.OK, rules.NoCause},
+		{failed("25006"), rules.NeverRan, rules.Missed},
+		{failed("72000"), rules.NeverRan, rules.Missed},
+		{failed("53300"), rules.NeverRan, rules.Full},
+		{failed("XX000"), rules.MayHaveRun, rules.Errored},
+		{failed("08P01"), rules.MayHaveRun, rules.Errored},
+		{Outcome{End: transport.DialRefused}, rules.NeverRan, rules.NoConnect},
+		{Outcome{End: transport.DialTimedOut}, rules.NeverRan, rules.NoConnect},
+		{Outcome{End: transport.TurnedAway}, rules.NeverRan, rules.NoConnect},
+		{Outcome{End: transport.ResetByPeer}, rules.NeverRan, rules.NoConnect},
+		{Outcome{End: transport.Malformed}, rules.NeverRan, rules.NoConnect},
+		{Outcome{End: transport.TimedOut}, rules.NeverRan, rules.TimedOut},
+		{Outcome{End: transport.Cancelled}, rules.NeverRan, rules.Cancelled},
+		{Outcome{Sent: true, End: transport.ResetByPeer}, rules.MayHaveRun, rules.Reset},
+		{Outcome{Sent: true, End: transport.ClosedByPeer}, rules.MayHaveRun, rules.Reset},
+		{Outcome{Sent: true, End: transport.CutShort}, rules.MayHaveRun, rules.Reset},
+		{Outcome{Sent: true, End: transport.Malformed}, rules.MayHaveRun, rules.Errored},
+		{Outcome{Sent: true, End: transport.TimedOut}, rules.MayHaveRun, rules.TimedOut},
+		{Outcome{Sent: true, End: transport.Cancelled}, rules.MayHaveRun, rules.Cancelled},
+	} {
+		require.Equal(t, verdict{c.proof, c.cause}, c.o.verdict(), "%+v", c.o)
+	}
+	for end := transport.DialRefused; end <= transport.ShutDown; end++ {
+		require.Contains(t, causes, end, "each end has its cause")
+	}
+	require.Equal(t, rules.Full, Outcome{End: transport.TurnedAway}.found().Cause, "a full member lives")
+}
+
+// begin gives a router that knows members a and b of group 1.
+func begin(t *testing.T, names ...string) *Router {
+	told := briefing.Flatten("settings", map[string]any{
+		"classes": []any{
+			map[string]any{"name": "read", "effect": "repeatable", "aimUs": 200_000, "giveUpUs": 2_000_000},
+			map[string]any{"name": "write", "effect": "once", "aimUs": 200_000, "giveUpUs": 2_000_000},
+		},
+		"extra":     map[string]any{"readLevel": []any{"loose", "update"}},
+		"limits":    map[string]any{"probing": true, "cancelling": true, "mostTries": 3, "peerMessages": true},
+		"discovery": "subscribe", "fleetSize": 2})
+	known := protocol.Targets{Whole: true}
+	for _, name := range names {
+		known.Entries = append(known.Entries, protocol.Target{ID: name, Address: "at-" + name, Group: 1})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r, err := New(told, 1, known, log)
+	require.NoError(t, err)
+	return r
+}
+
+func next[T Duty](t *testing.T, r *Router) T {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	for {
+		duty, err := r.Tick(ctx)
+		require.NoError(t, err)
+		if d, ok := duty.(T); ok {
+			return d
+		}
+	}
+}
+
+func ok(position int64, primary bool) Outcome {
+	return Outcome{Sent: true, Answer: &protocol.Answer{Primary: primary, Replica: !primary, Position: position}}
+}
+
+// Guards against RPCs that get no final answer or two, and that leave something behind.
+func TestTrips(t *testing.T) {
+	r := begin(t, "a")
+	require.NotNil(t, next[Follow](t, r))
+	look := next[Look](t, r)
+	require.Equal(t, "at-a", look.Address)
+	r.ReportLook(look.Member, ok(time.Now().UnixMilli(), true))
+
+	served := r.Take(rules.RPC{Group: 1, Left: int64(time.Second)})
+	step := served.Pick()
+	require.Equal(t, CallOut, step.Act)
+	require.Equal(t, "at-a", step.Address)
+	answer := ok(time.Now().UnixMilli(), true)
+	served.Report(step.Number, answer)
+	served.Report(step.Number, answer)
+	last := served.Pick()
+	require.Equal(t, Serve, last.Act)
+	require.Same(t, answer.Answer, last.Answer)
+
+	left := r.Take(rules.RPC{Group: 1, Left: int64(time.Second)})
+	step = left.Pick()
+	left.Leave()
+	left.Leave()
+	require.Equal(t, Drop, left.Pick().Act)
+	<-step.By.Done()
+	require.Equal(t, transport.Cancelled, transport.EndOf(step.By))
+	left.Report(step.Number, Outcome{End: transport.Cancelled})
+
+	aborted := r.Take(rules.RPC{Group: 1, Method: 1, Left: int64(time.Second)})
+	aborted.Report(aborted.Pick().Number, Outcome{Sent: true, End: transport.ResetByPeer})
+	require.Equal(t, Abort, aborted.Pick().Act)
+
+	require.Equal(t, PushBack, r.Take(rules.RPC{Group: 9, Left: int64(time.Second)}).Pick().Act)
+	require.Empty(t, r.trips)
+	_, err := r.Method("neither")
+	require.Error(t, err)
+}
+
+// Guards against news that name another member at a driver that knows the members in another order.
+func TestNewsMeanTheSameEverywhere(t *testing.T) {
+	one, other := begin(t, "a", "b"), begin(t, "c", "b", "a")
+	position := time.Now().UnixMilli()
+	for range 2 {
+		if look := next[Look](t, one); look.Address == "at-a" {
+			one.ReportLook(look.Member, ok(position, true))
+		} else {
+			one.ReportLook(look.Member, ok(position, false))
+		}
+	}
+	message := next[Spread](t, one).Message
+	require.True(t, other.ReportNews(message))
+	trip := other.Take(rules.RPC{Group: 1, Method: 1, Left: int64(time.Second)})
+	require.Equal(t, "at-a", trip.Pick().Address)
+	require.False(t, other.ReportNews([]byte("\xff")))
+}
+
+// Guards against timers that run early, late behind others, or out of the order in which they were set.
+func TestTimersRunInOrder(t *testing.T) {
+	var q timers
+	var got []int
+	for i, at := range []int64{30, 10, 20, 10, 30} {
+		q.add(at, func() { got = append(got, i) })
+	}
+	for now := range int64(31) {
+		for next, ok := q.due(now); ok; next, ok = q.due(now) {
+			next()
+		}
+	}
+	require.Equal(t, []int{1, 3, 2, 0, 4}, got)
+}
+
+// Guards against a driver that starts on less than it has to know.
+func TestStartIsRefused(t *testing.T) {
+	_, err := New(briefing.Flatten("settings", map[string]any{"classes": []any{map[string]any{"name": "x"}}}), 1,
+		protocol.Targets{}, logrus.New())
+	require.ErrorContains(t, err, "settings: classes.0.effect is missing")
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -16,17 +16,19 @@
 	cancel context.CancelCauseFunc
 	give   func()
 
-	mu     sync.Mutex
-	moved  *sync.Cond // the in ring or the end has changed
-	in     Ring
-	wanted int // bytes that the reading goroutine waits for
-	end    End
+	mu      sync.Mutex
+	moved   *sync.Cond // the in ring or the end has changed
+	in      Ring
+	wanted  int // bytes that the reading goroutine waits for
+	parting End
+	end     End
 
 	out Ring
 }
 
-// newConn starts reading. The connection ends with its context.
-func newConn(ctx context.Context, nc net.Conn, bound int, give func()) *Conn {
+// NewConn starts reading into rings that hold up to bound bytes each. The connection ends with its context, and
+// calls give once it has.
+func NewConn(ctx context.Context, nc net.Conn, bound int, give func()) *Conn {
 	c := &Conn{nc: nc, give: give, in: NewRing(bound), out: NewRing(bound)}
 	c.moved = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
@@ -109,7 +111,10 @@
 	if n > c.in.bound {
 		return TooLong
 	}
-	for c.wanted = n; c.in.Len() < n; c.moved.Wait() {
+	for c.wanted = n; c.in.Len() < n || c.parting != Open; c.moved.Wait() {
+		if c.parting != Open {
+			return c.parting
+		}
 		if c.end == ClosedByPeer && c.in.Len() > 0 {
 			return CutShort
 		}
@@ -123,9 +128,9 @@
 }
 
 // Peek copies the next bytes without taking them. They must have been awaited.
-func (c *Conn) Peek(from int, into []byte) {
+func (c *Conn) Peek(into []byte) {
 	c.mu.Lock()
-	c.in.peek(from, into)
+	c.in.peek(0, into)
 	c.mu.Unlock()
 }
 
@@ -145,15 +150,46 @@
 	return c.in.Len()
 }
 
-// Write puts bytes into the out ring, sending what does not fit.
-func (c *Conn) Write(p []byte) End {
+// Idle tells whether the connection is open and holds nothing that was not read.
+func (c *Conn) Idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end == Open && c.in.Len() == 0
+}
+
+// Part asks whoever reads from an idle connection to end it: Await gives the End from now on, whatever comes. It
+// tells whether the connection was idle.
+func (c *Conn) Part(end End) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.end == Open && c.in.Len() == 0
+	if idle {
+		c.parting = end
+		c.moved.Broadcast()
+	}
+	return idle
+}
+
+// Linger ends this side's sending and gives the peer a while to read what was sent, and to end its own.
+func (c *Conn) Linger(while time.Duration) {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	patience := time.NewTimer(while)
+	defer patience.Stop()
+	select {
+	case <-c.ctx.Done():
+	case <-patience.C:
+	}
+}
+
+// Write puts a text into the out ring, sending what does not fit. What goes wrong shows at the flush.
+func (c *Conn) Write(text string) {
 	for {
-		p = p[c.out.Write(p):]
-		if len(p) == 0 {
-			return Open
-		}
-		if end := c.Flush(); end != Open {
-			return end
+		text = text[c.out.Write(text):]
+		if text == "" || c.Flush() != Open {
+			return
 		}
 	}
 }
@@ -174,10 +210,3 @@
 	c.out.relax()
 	return Open
 }
-
-// CloseWrite tells the peer that nothing more will be sent.
-func (c *Conn) CloseWrite() {
-	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
-}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"time"
 )
 
 // Dial connects to an address until by ends; the connection itself lives as long as life.
@@ -16,7 +18,7 @@
 		d.Give()
 		return nil, endOfDial(by, err)
 	}
-	return newConn(life, nc, bound, d.Give), Open
+	return NewConn(life, nc, bound, d.Give), Open
 }
 
 // Listener accepts connections within the descriptors allowed.
@@ -35,27 +37,45 @@
 	return &Listener{nl: nl, d: d, bound: bound}, nil
 }
 
-// Accept waits for a connection, and calls full when taking it would leave fewer than spare descriptors free; it
-// is closed at once where that does not help.
-func (l *Listener) Accept(life context.Context, spare int, full func()) (*Conn, error) {
+const (
+	keepClear  = 16 // descriptors that are made free before they are needed
+	acceptRest = 10 * time.Millisecond
+	mostRests  = 30 // for a descriptor to come free
+)
+
+// Accept waits for a connection that leaves spare descriptors free, and calls short when these run short. One that
+// would leave fewer, however long it waits, is closed.
+func (l *Listener) Accept(life context.Context, spare int, short func()) (*Conn, error) {
 	for {
 		nc, err := l.nl.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case err != nil:
+			short()
+			time.Sleep(acceptRest)
+		case l.room(spare, short):
+			return NewConn(life, nc, l.bound, l.d.Give), nil
+		default:
+			nc.Close()
 		}
-		if !l.d.Take(spare) {
-			full()
-			if !l.d.Take(spare) {
-				nc.Close()
-				continue
-			}
-		}
-		return newConn(life, nc, l.bound, l.d.Give), nil
 	}
 }
 
-// Address is where the listener listens.
-func (l *Listener) Address() string { return l.nl.Addr().String() }
+// room takes a descriptor, and tells whether one came free in time.
+func (l *Listener) room(spare int, short func()) bool {
+	if l.d.Free() <= spare+keepClear {
+		short()
+	}
+	for range mostRests {
+		if l.d.Take(spare) {
+			return true
+		}
+		short()
+		time.Sleep(acceptRest)
+	}
+	return false
+}
 
 // Close ends the listener.
 func (l *Listener) Close() { l.nl.Close() }
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -48,16 +48,16 @@
 	}
 }
 
-// Write appends as much of p as there is room for, and tells how much.
-func (r *Ring) Write(p []byte) int {
-	p = p[:min(len(p), r.Room())]
-	r.grow(len(p))
-	for rest := p; len(rest) > 0; {
+// Write appends as much of a text as there is room for, and tells how much.
+func (r *Ring) Write(text string) int {
+	text = text[:min(len(text), r.Room())]
+	r.grow(len(text))
+	for rest := text; len(rest) > 0; {
 		n := copy(r.free(), rest)
 		r.used += n
 		rest = rest[n:]
 	}
-	return len(p)
+	return len(text)
 }
 
 // free is the longest unused stretch behind what is held.
--- /dev/null
+++ b/internal/transport/ring_test.go
@@ -0,0 +1,44 @@
+package transport
+
+import (
+	"math/rand"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against bytes lost, doubled or out of order where the ring wraps around or grows.
+func TestRingKeepsOrder(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	r, model := NewRing(3000), ""
+	for i := range 20_000 {
+		if rng.Intn(2) == 0 {
+			text := strings.Repeat(string(rune('a'+i%26)), rng.Intn(700))
+			n := r.Write(text)
+			require.Equal(t, min(len(text), 3000-len(model)), n)
+			model += text[:n]
+		} else {
+			part := make([]byte, rng.Intn(len(model)+1))
+			r.peek(0, part)
+			r.discard(len(part))
+			require.Equal(t, model[:len(part)], string(part))
+			model = model[len(part):]
+		}
+		require.Equal(t, len(model), r.Len())
+		require.True(t, strings.HasPrefix(model, string(r.front())))
+	}
+}
+
+// Guards against memory that idle connections hold on to.
+func TestRingIsSmallUntilNeeded(t *testing.T) {
+	r := NewRing(100 << 10)
+	require.Zero(t, cap(r.buf))
+	r.Write("a")
+	require.Len(t, r.buf, firstSize)
+	r.Write(strings.Repeat("b", 50<<10))
+	require.Less(t, len(r.buf), 100<<10)
+	r.discard(r.Len())
+	r.relax()
+	require.Zero(t, cap(r.buf))
+}
