--- a/internal/program/follow.go
+++ b/internal/program/follow.go
@@ -19,8 +19,7 @@
 	for err == nil {
 		p.router.ReportList(t)
 		p.ready.listed(p.router, t)
-		p.generation = t.Generation
-		t, err = p.askSince(ctx, d)
+		t, err = p.askSince(ctx, d, t.Generation)
 	}
 	if ctx.Err() != nil {
 		return
@@ -36,8 +35,8 @@
 	return d.Whole(ctx, by)
 }
 
-func (p *Program) askSince(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
+func (p *Program) askSince(ctx context.Context, d *protocol.Discovery, generation int64) (protocol.Targets, error) {
 	by, stop := context.WithTimeoutCause(ctx, p.posting.WatchFor+answerWithin, transport.TimedOut)
 	defer stop()
-	return d.Since(ctx, by, p.generation, p.posting.WatchFor.Milliseconds())
+	return d.Since(ctx, by, generation, p.posting.WatchFor.Milliseconds())
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,7 +31,6 @@
 	peers       *peers
 	ready       *readiness
 	tasks       errgroup.Group // call-outs, probes and the watch
-	generation  int64          // of the list held
 }
 
 const (
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -178,6 +178,49 @@
 	eventually(t, "the list is told", func() bool { return c.ask(t, statement("write", 50)) == "53300" })
 }
 
+// Guards against a member that is sought for ever where it was before.
+func TestMemberMoves(t *testing.T) {
+	here, there := newMember(t, "p", "leader"), newMember(t, "p", "leader")
+	d := newDiscovery(t, here)
+	c := start(t, d, nil).client(t)
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+	d.mu.Lock()
+	delete(d.states, here)
+	d.mu.Unlock()
+	d.set(there, "SERVING", false)
+	eventually(t, "it is found where it is now", func() bool {
+		require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+		return len(there.statements()) > 0
+	})
+}
+
+// Guards against datagrams that are no driver's, overlong ones among them, doing more than being counted.
+func TestStrayDatagrams(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := socket.LocalAddr().String()
+	socket.Close()
+	env := posting(t, newDiscovery(t, primary), func(file map[string]any) {
+		file["peer_listen"], file["peers_all"] = address, address
+		file["settings"].(map[string]any)["limits"].(map[string]any)["peerMessages"] = true
+	})
+	cmd, stderr := command(t, env)
+	require.NoError(t, cmd.Start())
+	c := (&driver{address: env["GW_LISTEN"]}).client(t)
+	require.Equal(t, "empty", c.ask(t, ""))
+	sender, err := net.Dial("udp", address)
+	require.NoError(t, err)
+	defer sender.Close()
+	for _, text := range []string{"\xff", strings.Repeat("\x01", 1000)} {
+		io.WriteString(sender, text)
+	}
+	eventually(t, "both are counted", func() bool { return strings.Contains(stderr.String(), "dropped=2") })
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
 // Guards against work that goes on for a client that has gone, on connections that others could use.
 func TestClientLeaves(t *testing.T) {
 	primary := newMember(t, "p", "leader")
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -28,7 +28,6 @@
 	Address  string
 	ComeBack int64
 	By       context.Context // ends when the call-out is no longer waited for
-	Within   time.Duration   // that it may take
 	Answer   *protocol.Answer
 }
 
@@ -108,7 +107,7 @@
 	by, cancel := context.WithCancelCause(by)
 	t.calls = append(t.calls, call{sent: r.now(), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
 	t.out++
-	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.addresses[to], By: by, Within: span}
+	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.addresses[to], By: by}
 	return n
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -130,14 +130,14 @@
 // Peek copies the next bytes without taking them. They must have been awaited.
 func (c *Conn) Peek(into []byte) {
 	c.mu.Lock()
-	c.in.peek(0, into)
+	c.in.peek(into)
 	c.mu.Unlock()
 }
 
 // Read takes the next bytes. They must have been awaited.
 func (c *Conn) Read(into []byte) {
 	c.mu.Lock()
-	c.in.peek(0, into)
+	c.in.peek(into)
 	c.in.discard(len(into))
 	c.moved.Broadcast()
 	c.mu.Unlock()
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -33,7 +33,7 @@
 		return
 	}
 	bigger := make([]byte, size)
-	r.peek(0, bigger[:r.used])
+	r.peek(bigger[:r.used])
 	r.buf, r.head = bigger, 0
 }
 
@@ -80,13 +80,9 @@
 	return r.buf[r.head:min(r.head+r.used, len(r.buf))]
 }
 
-// peek copies bytes from an offset on without taking them; they must be held.
-func (r *Ring) peek(from int, into []byte) {
-	if len(into) == 0 {
-		return
-	}
-	at := (r.head + from) % len(r.buf)
-	n := copy(into, r.buf[at:])
+// peek copies the oldest bytes without taking them; they must be held.
+func (r *Ring) peek(into []byte) {
+	n := copy(into, r.buf[r.head:])
 	copy(into[n:], r.buf)
 }
 
--- a/internal/transport/ring_test.go
+++ b/internal/transport/ring_test.go
@@ -20,7 +20,7 @@
 			model += text[:n]
 		} else {
 			part := make([]byte, rng.Intn(len(model)+1))
-			r.peek(0, part)
+			r.peek(part)
 			r.discard(len(part))
 			require.Equal(t, model[:len(part)], string(part))
 			model = model[len(part):]
