Clients that are let go are no longer read from, so that none loses a query that crosses

Checked: new connections were closed when all descriptors were busy (now they wait): still lost. To blame: Linger in conn.go, which went on reading after a client was told to go, so that a query that crossed counted as taken. Now reading stops first, and what comes later stays unread. The test of parting sees the reset that tells the client; it fails without the change.

--- a/internal/program/lobby.go
+++ b/internal/program/lobby.go
@@ -17,12 +17,12 @@
 
 func newLobby() *lobby { return &lobby{idle: list.New()} }
 
-// enter notes that a client waits for its next query. It is nil once clients are to go.
+// enter notes that a client waits for its next query. Once clients are to go it is let go, unless that has come.
 func (l *lobby) enter(c protocol.Client) *list.Element {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leaving && c.Buffered() == 0 {
-		return nil
+	if l.leaving {
+		c.Part(transport.ShutDown)
 	}
 	return l.idle.PushBack(c)
 }
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -17,7 +17,9 @@
 	for end == transport.Open {
 		end = p.query(c)
 	}
-	c.Linger(lingerFor)
+	if end == transport.Malformed || end == transport.TooLong {
+		c.Linger(lingerFor)
+	}
 	c.Close(end)
 }
 
@@ -29,9 +31,6 @@
 // query serves the client's next query.
 func (p *Program) query(c protocol.Client) transport.End {
 	seat := p.lobby.enter(c)
-	if seat == nil {
-		return transport.ShutDown
-	}
 	text, end := c.Query()
 	p.lobby.leave(seat)
 	if end != transport.Open {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -19,8 +21,9 @@
 	mu      sync.Mutex
 	moved   *sync.Cond // the in ring or the end has changed
 	in      Ring
-	wanted  int // bytes that the reading goroutine waits for
-	parting End
+	wanted  int  // bytes that the reading goroutine waits for
+	parting End  // asked to end between messages
+	parted  bool // and nothing came before reading stopped
 	end     End
 
 	out Ring
@@ -77,15 +80,33 @@
 		n, err := c.nc.Read(space)
 		c.mu.Lock()
 		c.in.used += n
+		parted := c.part(err)
 		c.moved.Broadcast()
 		c.mu.Unlock()
-		if err != nil {
+		if parted {
+			return
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.Close(endOfRead(err))
 			return
 		}
 	}
 }
 
+// part settles a parting once reading was interrupted: what came first calls it off. The lock is held.
+func (c *Conn) part(err error) bool {
+	if c.parting == Open {
+		return false
+	}
+	if c.in.Len() > 0 {
+		c.parting = Open
+		c.nc.SetReadDeadline(time.Time{})
+		return false
+	}
+	c.parted = errors.Is(err, os.ErrDeadlineExceeded)
+	return c.parted
+}
+
 // space waits for room in the in ring, and gives nil when the connection has ended. Only the pump changes where
 // the ring's bytes lie, so that it may fill the space without the lock.
 func (c *Conn) space() []byte {
@@ -111,8 +132,8 @@
 	if n > c.in.bound {
 		return TooLong
 	}
-	for c.wanted = n; c.in.Len() < n || c.parting != Open; c.moved.Wait() {
-		if c.parting != Open {
+	for c.wanted = n; c.in.Len() < n || c.parted; c.moved.Wait() {
+		if c.parted {
 			return c.parting
 		}
 		if c.end == ClosedByPeer && c.in.Len() > 0 {
@@ -157,15 +178,15 @@
 	return c.end == Open && c.in.Len() == 0
 }
 
-// Part asks whoever reads from an idle connection to end it: Await gives the End from now on, whatever comes. It
-// tells whether the connection was idle.
+// Part asks whoever reads from an idle connection to end it: reading stops, and Await gives the End. What comes
+// later stays unread, so that the peer can tell. It tells whether the connection was idle.
 func (c *Conn) Part(end End) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.end == Open && c.in.Len() == 0
 	if idle {
 		c.parting = end
-		c.moved.Broadcast()
+		c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
 	return idle
 }
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,6 +116,9 @@
 	require.Equal(t, Open, c.Await(1))
 	c.Read(make([]byte, 1))
 	require.True(t, c.Part(Evicted))
-	far.Write([]byte("q"))
 	require.Equal(t, Evicted, c.Await(1))
+	far.Write([]byte("q"))
+	c.Close(Evicted)
+	_, err := far.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET, "what was not read shows as such to the peer")
 }
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -37,14 +37,10 @@
 	return &Listener{nl: nl, d: d, bound: bound}, nil
 }
 
-const (
-	keepClear  = 16 // descriptors that are made free before they are needed
-	acceptRest = 10 * time.Millisecond
-	mostRests  = 30 // for a descriptor to come free
-)
+const acceptRest = 10 * time.Millisecond // after an accept that failed, or while no descriptor is free
 
-// Accept waits for a connection that leaves spare descriptors free, and calls short when these run short. One that
-// would leave fewer, however long it waits, is closed.
+// Accept waits for a connection, and calls short while no more than spare descriptors are free. One that would take
+// the last quarter of these waits: what its client sent can't be given back.
 func (l *Listener) Accept(life context.Context, spare int, short func()) (*Conn, error) {
 	for {
 		nc, err := l.nl.Accept()
@@ -54,27 +50,21 @@
 		case err != nil:
 			short()
 			time.Sleep(acceptRest)
-		case l.room(spare, short):
-			return NewConn(life, nc, l.bound, l.d.Give), nil
-		default:
-			nc.Close()
+			continue
 		}
-	}
-}
-
-// room takes a descriptor, and tells whether one came free in time.
-func (l *Listener) room(spare int, short func()) bool {
-	if l.d.Free() <= spare+keepClear {
-		short()
-	}
-	for range mostRests {
-		if l.d.Take(spare) {
-			return true
+		if l.d.Free() <= spare {
+			short()
+		}
+		for !l.d.Take(spare / 4) {
+			if life.Err() != nil {
+				nc.Close()
+				return nil, life.Err()
+			}
+			short()
+			time.Sleep(acceptRest)
 		}
-		short()
-		time.Sleep(acceptRest)
+		return NewConn(life, nc, l.bound, l.d.Give), nil
 	}
-	return false
 }
 
 // Close ends the listener.
