--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -77,13 +76,7 @@
 func (l *looks) take(to rules.MemberID, address string) (w link, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.kept[to] = slices.DeleteFunc(l.kept[to], func(k link) bool {
-		good := k.good(address, l.pools.idleFor)
-		if !good {
-			k.Close(transport.Evicted)
-		}
-		return !good
-	})
+	l.kept[to] = pruned(l.kept[to], func(k link) bool { return k.good(address, l.pools.idleFor) })
 	if len(l.kept[to]) < keptLooks {
 		return w, false
 	}
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -89,11 +89,17 @@
 
 // prune lets go of idle connections that have ended or are unwanted. The lock is held.
 func (p *pools) prune(to rules.MemberID, unwanted func(link) bool) {
-	p.idle[to] = slices.DeleteFunc(p.idle[to], func(l link) bool {
-		if unwanted(l) || !l.Idle() {
-			l.Close(transport.Evicted)
+	p.idle[to] = pruned(p.idle[to], func(l link) bool { return l.Idle() && !unwanted(l) })
+}
+
+// pruned lets go of the links that are not good.
+func pruned(links []link, good func(link) bool) []link {
+	return slices.DeleteFunc(links, func(l link) bool {
+		if good(l) {
+			return false
 		}
-		return !l.Idle()
+		l.Close(transport.Evicted)
+		return true
 	})
 }
 
