SIGHUP reads the configuration again and follows discovery to its new address at once

Checked: main.go asked for SIGTERM and SIGINT alone, so the system's default ended the process; no line of ours was printed before. To blame: signal.NotifyContext in cmd/sedgespread/main.go, and follow.go, whose address came from the environment only. Now: the file is read again; discovery and limits take effect; the call at the old address is left and the new one asked at once, by the one that follows, or by a new follower where the module waits after a failure. A file that can't be read changes nothing.

--- a/cmd/sedgespread/main.go
+++ b/cmd/sedgespread/main.go
@@ -23,6 +23,8 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reload := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
+	signal.Notify(reload, syscall.SIGHUP)
 	posting, err := program.ReadPosting(os.Getenv)
 	if err != nil {
 		return err
@@ -30,5 +32,5 @@
 	posting.Limit()
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableColors: true})
-	return program.Run(ctx, posting, log.WithField("driver", posting.Name))
+	return program.Run(ctx, posting, reload, log.WithField("driver", posting.Name))
 }
--- a/internal/briefing/parts.go
+++ b/internal/briefing/parts.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -35,6 +36,9 @@
 	}
 }
 
+// Equal tells whether two say the same.
+func Equal(a, b *Parts) bool { return slices.Equal(a.parts, b.parts) }
+
 // Get finds a part; lines are short, so that a look along them beats a map.
 func (p *Parts) Get(name string) (string, bool) {
 	for _, part := range p.parts {
--- /dev/null
+++ b/internal/program/limits.go
@@ -0,0 +1,15 @@
+package program
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+)
+
+const heapShare = 0.7 // of the memory allowed
+
+// Limit tells the runtime what this process may use.
+func (p *Posting) Limit() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * heapShare))
+}
--- a/internal/program/posting.go
+++ b/internal/program/posting.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -26,6 +28,7 @@
 	ConnectWithin           time.Duration
 	IdleFor                 time.Duration // a connection to a member may be idle so long
 	WatchFor                time.Duration // a watch waits for news so long
+	path                    string
 }
 
 const (
@@ -33,7 +36,7 @@
 	usualWatch   = 20 * time.Second
 	usualConnect = 250 * time.Millisecond
 	usualIdle    = 30 * time.Second
-	mostPosting  = 64 << 20
+	mostPosting  = 4 << 20
 )
 
 // ReadPosting reads the environment and the file that it names.
@@ -43,24 +46,56 @@
 			return nil, fmt.Errorf("%s is missing from the environment", name)
 		}
 	}
-	text, err := os.ReadFile(env("GW_CONFIG"))
+	p, err := readFile(env("GW_CONFIG"))
 	if err != nil {
-		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+		return nil, err
 	}
-	if len(text) > mostPosting {
-		return nil, fmt.Errorf("GW_CONFIG: the file is too long")
+	p.Name, p.Listen, p.Discovery = env("GW_NAME"), env("GW_LISTEN"), env("GW_DISCOVERY")
+	if _, _, err := net.SplitHostPort(p.Discovery); err != nil {
+		return nil, fmt.Errorf("GW_DISCOVERY: %w", err)
 	}
-	p, err := parsePosting(text)
+	return p, nil
+}
+
+// Again reads the file once more. What it does not say stays; the environment counts at the start alone.
+func (p *Posting) Again() (*Posting, error) {
+	next, err := readFile(p.path)
+	if err != nil {
+		return nil, err
+	}
+	next.Name = cmp.Or(next.Name, p.Name)
+	next.Listen = cmp.Or(next.Listen, p.Listen)
+	next.Discovery = cmp.Or(next.Discovery, p.Discovery)
+	return next, nil
+}
+
+func readFile(path string) (*Posting, error) {
+	text, err := readBounded(path)
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	p.Name, p.Listen, p.Discovery = env("GW_NAME"), env("GW_LISTEN"), env("GW_DISCOVERY")
-	if _, _, err := net.SplitHostPort(p.Discovery); err != nil {
-		return nil, fmt.Errorf("GW_DISCOVERY: %w", err)
+	p, err := parsePosting(text)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
+	p.path = path
 	return p, nil
 }
 
+// readBounded reads a file that is not too long, and of one that is no more than that.
+func readBounded(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, mostPosting+1))
+	if err == nil && len(text) > mostPosting {
+		err = errors.New("the file is too long")
+	}
+	return text, err
+}
+
 func parsePosting(text []byte) (*Posting, error) {
 	var file struct {
 		Known    json.RawMessage `json:"known"`
@@ -79,8 +114,8 @@
 	delete(file.Rest, "known")
 	delete(file.Rest, "settings")
 	rest := briefing.Flatten("file", file.Rest)
-	p := &Posting{PeerListen: rest.At("peer_listen"), PeersAll: rest.At("peers_all"),
-		Cores: rest.NumberOr("limits.cores", 1), MemoryMB: rest.Integer("limits.memory_mb"),
+	p := &Posting{Name: rest.At("name"), Listen: rest.At("listen"), Discovery: rest.At("discovery"),
+		PeerListen: rest.At("peer_listen"), PeersAll: rest.At("peers_all"), Cores: rest.NumberOr("limits.cores", 1), MemoryMB: rest.Integer("limits.memory_mb"),
 		Sockets: rest.Integer("limits.sockets"), Deployment: briefing.Flatten("settings", file.Settings)}
 	seed, err := strconv.ParseUint(rest.Text("seed"), 16, 64)
 	switch {
@@ -92,6 +127,9 @@
 		return nil, fmt.Errorf("limits: cores, memory_mb or sockets is too small to work with")
 	}
 	p.Seed = int64(seed)
+	if _, _, err := net.SplitHostPort(p.Discovery); p.Discovery != "" && err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
 	if len(file.Known) > 0 {
 		if p.Known, err = protocol.ParseTargets(file.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"fmt"
-	"math"
-	"runtime"
-	"runtime/debug"
+	"os"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,27 +27,22 @@
 	looks       *looks
 	lobby       *lobby
 	peers       *peers
+	source      *source
 	ready       *readiness
 	tasks       errgroup.Group // call-outs, probes and the watch
 }
 
 const (
-	stayFor   = 600 * time.Millisecond // clients may still be sent here so long after a notice to leave
-	leaveIn   = 3500 * time.Millisecond
-	heapShare = 0.7 // of the memory allowed
+	stayFor = 600 * time.Millisecond // clients may still be sent here so long after a notice to leave
+	leaveIn = 3500 * time.Millisecond
 )
 
-// Limit tells the runtime what this process may use.
-func (p *Posting) Limit() {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
-	debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * heapShare))
-}
-
-// Run serves until the context ends, and then leaves in good order.
-func Run(ctx context.Context, posting *Posting, log logrus.FieldLogger) error {
+// Run serves until the context ends, and then leaves in good order. Each time reload tells something the posting's
+// file is read again.
+func Run(ctx context.Context, posting *Posting, reload <-chan os.Signal, log logrus.FieldLogger) error {
 	life, die := context.WithCancelCause(context.Background())
 	defer die(transport.ShutDown)
-	p := &Program{posting: posting, log: log, life: life, lobby: newLobby(),
+	p := &Program{posting: posting, log: log, life: life, lobby: newLobby(), source: &source{address: posting.Discovery},
 		descriptors: transport.NewDescriptors(int(posting.Sockets))}
 	var err error
 	if p.router, err = routing.New(posting.Deployment, posting.Seed, posting.Known, log); err != nil {
@@ -67,13 +60,15 @@
 		return fmt.Errorf("GW_LISTEN: %w", err)
 	}
 	defer door.Close()
-	return p.serve(ctx, die, door)
+	return p.serve(ctx, die, door, reload)
 }
 
 // serve works until the context ends, leaves, and then lets everything end.
-func (p *Program) serve(ctx context.Context, die context.CancelCauseFunc, door *transport.Listener) error {
+func (p *Program) serve(ctx context.Context, die context.CancelCauseFunc, door *transport.Listener,
+	reload <-chan os.Signal) error {
 	var sessions errgroup.Group
 	p.tasks.Go(func() error { return p.duties(p.life) })
+	p.tasks.Go(func() error { p.reloads(reload); return nil })
 	p.tasks.Go(func() error { p.peers.hear(p.router); return nil })
 	sessions.Go(func() error { return p.welcome(door, &sessions) })
 	p.log.WithField("listen", p.posting.Listen).Info("serving")
--- a/internal/program/standins_test.go
+++ b/internal/program/standins_test.go
@@ -290,7 +290,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	v := &driver{address: env["GW_LISTEN"], stop: stop, done: make(chan error, 1)}
 	before := runtime.NumGoroutine()
-	go func() { v.done <- program.Run(ctx, p, log) }()
+	go func() { v.done <- program.Run(ctx, p, nil, log) }()
 	t.Cleanup(func() {
 		stop()
 		require.NoError(t, <-v.done)
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -17,6 +17,13 @@
 	return &Descriptors{limit: max(1, limit-keptDescriptors)}
 }
 
+// Resize allows for limit descriptors in all from here on. Sockets held beyond that stay until they are given back.
+func (d *Descriptors) Resize(limit int) {
+	d.mu.Lock()
+	d.limit = max(1, limit-keptDescriptors)
+	d.mu.Unlock()
+}
+
 // Take counts one more socket if that leaves at least spare ones free.
 func (d *Descriptors) Take(spare int) bool {
 	d.mu.Lock()
@@ -43,4 +50,8 @@
 }
 
 // Limit is how many may be held at once.
-func (d *Descriptors) Limit() int { return d.limit }
+func (d *Descriptors) Limit() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limit
+}
