Answers larger than a ring pass in pieces; members that left are forgotten

Checked with a build that prints how call-outs end: 938 of them ended as too long in 22 s, all with a well-formed DataRow of 200 to 390 KB; ruled out: spoilt lengths (the inner length fitted each time), memory (10 MB), descriptors. Each counted as an error: read again on each member in turn, three in a row set sound members aside. To blame: MostBytes, 192 KiB, taken from the bound on what clients send. Now: messages come and go through rings of 64 KiB in pieces, memory is taken as they come; an answer may be a sixteenth of the memory allowed, and may not pause for 250 ms. TestAnswersPassUnaltered fails without it.

--- a/internal/program/duties.go
+++ b/internal/program/duties.go
@@ -20,6 +20,9 @@
 		case routing.Shed:
 			p.pools.shed(d.Member)
 			p.looks.shed(d.Member)
+		case routing.Forget:
+			p.pools.shed(d.Member)
+			p.looks.drop(d.Member)
 		case routing.Spread:
 			p.peers.spread(d.Message)
 		case routing.Follow:
--- a/internal/program/follow.go
+++ b/internal/program/follow.go
@@ -69,7 +69,7 @@
 			return
 		}
 		if !moved {
-			p.ready.unlisted()
+			p.ready.listed(p.router, protocol.Targets{})
 			p.log.WithError(err).Warn("discovery broke off")
 			p.router.ReportNoList()
 			return
--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -104,9 +104,21 @@
 func (l *looks) shed(to rules.MemberID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.mute[to] {
-		return
+	if !l.mute[to] {
+		l.close(to)
 	}
+}
+
+// drop lets go of all that is kept for a member.
+func (l *looks) drop(to rules.MemberID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.close(to)
+	delete(l.mute, to)
+}
+
+// close closes the connections to a member. The lock is held.
+func (l *looks) close(to rules.MemberID) {
 	for _, w := range l.kept[to] {
 		w.Close(transport.Evicted)
 	}
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -18,11 +18,14 @@
 	d             *transport.Descriptors
 	connectWithin time.Duration
 	idleFor       time.Duration
+	mostAnswer    int // bytes
 
 	mu   sync.Mutex
 	idle map[rules.MemberID][]link
 }
 
+const answerShare = 16 // an answer may take this part of the memory allowed
+
 // link is a connection that carries nothing.
 type link struct {
 	protocol.Member
@@ -36,8 +39,9 @@
 	return l.Idle() && l.address == address && time.Since(l.since) < idleFor*9/10
 }
 
-func newPools(life context.Context, d *transport.Descriptors, connectWithin, idleFor time.Duration) *pools {
-	return &pools{life: life, d: d, connectWithin: connectWithin, idleFor: idleFor, idle: map[rules.MemberID][]link{}}
+func newPools(life context.Context, d *transport.Descriptors, posting *Posting) *pools {
+	return &pools{life: life, d: d, connectWithin: posting.ConnectWithin, idleFor: posting.IdleFor,
+		mostAnswer: int(posting.MemoryMB << 20 / answerShare), idle: map[rules.MemberID][]link{}}
 }
 
 // ask sends a statement to a member and waits for what comes of it. The statement is told how long that may take.
@@ -65,9 +69,9 @@
 func (p *pools) open(by context.Context, address string) (link, transport.End) {
 	within, stop := context.WithTimeoutCause(by, p.connectWithin, transport.DialTimedOut)
 	defer stop()
-	m, end := protocol.Connect(p.life, within, p.d, address)
+	m, end := protocol.Connect(p.life, within, p.d, address, p.mostAnswer)
 	if end == transport.NoDescriptor && p.evict() {
-		m, end = protocol.Connect(p.life, within, p.d, address)
+		m, end = protocol.Connect(p.life, within, p.d, address, p.mostAnswer)
 	}
 	now := time.Now()
 	return link{Member: m, address: address, opened: now, since: now}, end
@@ -93,6 +97,9 @@
 // prune lets go of idle connections that have ended or are unwanted. The lock is held.
 func (p *pools) prune(to rules.MemberID, unwanted func(link) bool) {
 	p.idle[to] = pruned(p.idle[to], func(l link) bool { return l.Idle() && !unwanted(l) })
+	if len(p.idle[to]) == 0 {
+		delete(p.idle, to)
+	}
 }
 
 // pruned lets go of the links that are not good.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -48,14 +48,14 @@
 	if p.router, err = routing.New(posting.Deployment, posting.Seed, posting.Known, log); err != nil {
 		return err
 	}
-	p.ready = newReadiness(p.router.Probes())
-	p.pools = newPools(life, p.descriptors, posting.ConnectWithin, posting.IdleFor)
+	p.ready = newReadiness()
+	p.pools = newPools(life, p.descriptors, posting)
 	p.looks = newLooks(p.pools)
 	if p.peers, err = newPeers(posting.PeerListen, posting.PeersAll, log); err != nil {
 		return err
 	}
 	defer p.peers.close()
-	door, err := transport.Listen(posting.Listen, p.descriptors, protocol.MostBytes)
+	door, err := transport.Listen(posting.Listen, p.descriptors, protocol.RingBytes)
 	if err != nil {
 		return fmt.Errorf("GW_LISTEN: %w", err)
 	}
--- a/internal/program/readiness.go
+++ b/internal/program/readiness.go
@@ -12,34 +12,38 @@
 type readiness struct {
 	reached chan struct{}
 
-	mu     sync.Mutex
-	probes bool
-	asked  bool
-	seen   map[rules.MemberID]bool
-	await  map[rules.MemberID]bool
-	done   bool
+	mu    sync.Mutex
+	asked bool
+	done  bool
+	seen  map[rules.MemberID]bool // probed, of no more use once ready
+	await map[rules.MemberID]bool
 }
 
-func newReadiness(probes bool) *readiness {
-	return &readiness{reached: make(chan struct{}), probes: probes, seen: map[rules.MemberID]bool{},
-		await: map[rules.MemberID]bool{}}
+func newReadiness() *readiness {
+	return &readiness{reached: make(chan struct{}), seen: map[rules.MemberID]bool{}, await: map[rules.MemberID]bool{}}
 }
 
 // looked notes that a probe of a member has ended.
 func (r *readiness) looked(m rules.MemberID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seen[m] = true
-	delete(r.await, m)
-	r.check()
+	if !r.done {
+		r.seen[m] = true
+		delete(r.await, m)
+		r.check()
+	}
 }
 
-// listed notes what discovery told.
+// listed notes what discovery told; nothing where it could not be asked: what was known before must do.
 func (r *readiness) listed(router *routing.Router, t protocol.Targets) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.done {
+		return
+	}
 	for _, e := range t.Entries {
-		if m := router.Member(e.ID); r.probes && e.Lifecycle == protocol.Serving && !r.seen[m] {
+		m, known := router.Member(e.ID)
+		if known && router.Probes() && e.Lifecycle == protocol.Serving && !r.seen[m] {
 			r.await[m] = true
 		}
 	}
@@ -47,17 +51,10 @@
 	r.check()
 }
 
-// unlisted notes that discovery could not be asked: what was known before must do.
-func (r *readiness) unlisted() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.asked = true
-	r.check()
-}
-
+// check tells once that readiness is reached. The lock is held.
 func (r *readiness) check() {
-	if r.asked && len(r.await) == 0 && !r.done {
-		r.done = true
+	if r.asked && len(r.await) == 0 {
+		r.done, r.seen, r.await = true, nil, nil
 		close(r.reached)
 	}
 }
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -79,7 +79,7 @@
 // Query waits for the next query. Queries of the extended kind are answered with an error each.
 func (c Client) Query() (text string, end transport.End) {
 	for {
-		m, end := readMessage(c.Conn)
+		m, end := readMessage(c.Conn, mostStatement)
 		switch {
 		case end == transport.TooLong || end == transport.Malformed || end == transport.Stalled:
 			return "", c.reject(StateProtocol, "the message can't be followed", end)
@@ -105,7 +105,7 @@
 func (c Client) skipExtended(kind byte) transport.End {
 	putFailure(c.Conn, Failure{State: StateNotSupported, Message: "only simple queries are taken"})
 	for kind != kindSync && kind != kindFunction {
-		m, end := readMessage(c.Conn)
+		m, end := readMessage(c.Conn, mostStatement)
 		if end != transport.Open {
 			return end
 		}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -93,7 +93,7 @@
 func (d *Discovery) get(life, by context.Context, path string) (t Targets, err error) {
 	if d.c == nil || !d.c.Idle() {
 		d.Close(transport.Evicted)
-		c, end := transport.Dial(life, by, d.d, d.address, MostBytes)
+		c, end := transport.Dial(life, by, d.d, d.address, RingBytes)
 		if end != transport.Open {
 			return t, end
 		}
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -10,7 +10,7 @@
 
 const (
 	mostHead = 16 << 10
-	mostBody = 16 << 20
+	mostBody = 2 << 20
 )
 
 // response is an HTTP/1.1 response.
--- a/internal/protocol/member.go
+++ b/internal/protocol/member.go
@@ -10,7 +10,10 @@
 )
 
 // Member is a connection to a member. It carries one statement at a time.
-type Member struct{ *transport.Conn }
+type Member struct {
+	*transport.Conn
+	most int // bytes of one message
+}
 
 // Answer is what a member made of a statement, and what it told of itself.
 type Answer struct {
@@ -24,13 +27,14 @@
 // startup is the startup message: its length, the version, and who asks for what.
 const startup = "\x00\x00\x00\x25\x00\x03\x00\x00user\x00backend\x00database\x00store\x00\x00"
 
-// Connect opens a connection to a member and waits until it is ready, until by ends.
-func Connect(life, by context.Context, d *transport.Descriptors, address string) (Member, transport.End) {
-	c, end := transport.Dial(life, by, d, address, MostBytes)
+// Connect opens a connection to a member, which may answer with up to most bytes, and waits until it is ready, until
+// by ends.
+func Connect(life, by context.Context, d *transport.Descriptors, address string, most int) (Member, transport.End) {
+	c, end := transport.Dial(life, by, d, address, RingBytes)
 	if end != transport.Open {
 		return Member{}, end
 	}
-	m := Member{c}
+	m := Member{c, most}
 	defer m.endBy(by)()
 	m.Write(startup)
 	if end = m.Flush(); end == transport.Open {
@@ -52,7 +56,7 @@
 // greeted reads what a member says before it is ready.
 func (m Member) greeted() transport.End {
 	for {
-		msg, end := readMessage(m.Conn)
+		msg, end := readMessage(m.Conn, m.most)
 		if end != transport.Open {
 			return end
 		}
@@ -83,9 +87,9 @@
 	a = &Answer{}
 	whole := false
 	if end = m.Await(1); end == transport.Open { // an answer that has begun comes whole or not at all
-		stalled := time.AfterFunc(restWithin, func() { m.Close(transport.Stalled) })
-		whole, end = a.read(m.Conn)
-		stalled.Stop()
+		m.Hurry(restWithin)
+		whole, end = a.read(m)
+		m.Hurry(0)
 	}
 	if end != transport.Open {
 		m.Close(end)
@@ -96,13 +100,13 @@
 	return a, true, m.End()
 }
 
-const restWithin = 250 * time.Millisecond // a member may take from an answer's first byte to its last
+const restWithin = 250 * time.Millisecond // a member may pause within an answer
 
 // read reads an answer up to ReadyForQuery, and tells whether a whole one came. One that breaks off behind its last
 // own message is whole; one that goes on with what can't be read is not.
-func (a *Answer) read(c *transport.Conn) (whole bool, end transport.End) {
+func (a *Answer) read(from Member) (whole bool, end transport.End) {
 	for {
-		m, end := readMessage(c)
+		m, end := readMessage(from.Conn, from.most)
 		if end != transport.Open {
 			return whole && end != transport.Malformed && end != transport.TooLong, end
 		}
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -4,13 +4,19 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"unsafe"
 
 	"sedgespread/internal/transport"
 )
 
-// MostBytes bounds what a connection may hold: a value of 64 KiB written as hexadecimal digits, and its statement.
-const MostBytes = 192 << 10
+const (
+	// RingBytes bounds a connection's ring, through which longer messages come and go in pieces.
+	RingBytes = 64 << 10
+	// mostStatement bounds what a client sends: a value of 64 KiB written as hexadecimal digits, and its statement.
+	mostStatement = 192 << 10
+	piece         = RingBytes / 2
+)
 
 // Kinds of messages, as PostgreSQL names them.
 const (
@@ -41,8 +47,8 @@
 	whole string
 }
 
-// readMessage waits for the next message.
-func readMessage(c *transport.Conn) (message, transport.End) {
+// readMessage waits for the next message, of most bytes at the most. Memory is taken as it comes, not as announced.
+func readMessage(c *transport.Conn, most int) (message, transport.End) {
 	if end := c.Await(headerBytes); end != transport.Open {
 		return message{}, end
 	}
@@ -52,14 +58,19 @@
 	switch {
 	case length < 4:
 		return message{}, transport.Malformed
-	case length+1 > MostBytes:
+	case length+1 > int64(most):
 		return message{}, transport.TooLong
 	}
-	if end := c.Await(int(length) + 1); end != transport.Open {
-		return message{}, end
+	total := int(length) + 1
+	whole := make([]byte, 0, min(total, piece))
+	for len(whole) < total {
+		n := min(total-len(whole), piece)
+		if end := c.Await(n); end != transport.Open {
+			return message{}, cutShort(end)
+		}
+		whole = slices.Grow(whole, n)[:len(whole)+n]
+		c.Read(whole[len(whole)-n:])
 	}
-	whole := make([]byte, length+1)
-	c.Read(whole)
 	text := unsafe.String(&whole[0], len(whole)) // nobody writes to it from here on
 	return message{kind: head[0], body: text[headerBytes:], whole: text}, transport.Open
 }
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -24,7 +24,7 @@
 
 func feed(text string) (*transport.Conn, *script) {
 	s := &script{in: strings.NewReader(text)}
-	return transport.NewConn(context.Background(), s, MostBytes, func() {}), s
+	return transport.NewConn(context.Background(), s, RingBytes, func() {}), s
 }
 
 // said is a message as it is on the wire.
@@ -34,6 +34,8 @@
 }
 
 const (
+	mostValue = 1 << 20
+
 	hello = "\x00\x00\x00\x08\x00\x03\x00\x00"
 	about = "T\x00\x00\x00\x1a\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"
 	value = "D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x01x"
@@ -107,7 +109,7 @@
 	} {
 		conn, _ := feed(text)
 		a := &Answer{}
-		whole, end := a.read(conn)
+		whole, end := a.read(Member{conn, mostValue})
 		require.Equal(t, want.whole, whole, "%q", text)
 		require.Equal(t, want.end, end, "%q", text)
 		if want.whole && want.state == "" {
@@ -120,11 +122,23 @@
 	}
 }
 
-// Guards against answers that are changed on their way.
+// Guards against answers that are changed on their way, also those larger than any ring.
 func TestAnswersPassUnaltered(t *testing.T) {
+	large := about + said('D', "\x00\x01\x00\x08\x00\x00"+strings.Repeat("0123456789abcdef", 1<<15)) + said('C', "SELECT 1\x00")
+	from, _ := feed(large + ready)
+	whole := &Answer{}
+	_, end := whole.read(Member{from, mostValue})
+	require.Equal(t, transport.Open, end)
+	to, far := feed("")
+	require.Equal(t, transport.Open, Client{to}.Pass(whole))
+	require.Equal(t, large+ready, far.heard.String())
+	from, _ = feed(large + ready)
+	_, end = new(Answer).read(Member{from, 1 << 18})
+	require.Equal(t, transport.TooLong, end)
+
 	conn, _ := feed(row + told + ready)
 	a := &Answer{}
-	_, end := a.read(conn)
+	_, end = a.read(Member{conn, mostValue})
 	require.Equal(t, transport.Open, end)
 	require.True(t, a.Primary)
 	require.EqualValues(t, 7, a.Position)
@@ -194,11 +208,11 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		conn, _ := feed(text)
 		a := &Answer{}
-		if whole, _ := a.read(conn); whole && a.Failure == nil {
+		if whole, _ := a.read(Member{conn, mostValue}); whole && a.Failure == nil {
 			require.Len(t, a.messages, len(rowKinds))
 			a.Text()
 		}
-		Member{conn}.greeted()
+		Member{conn, mostValue}.greeted()
 	})
 }
 
--- a/internal/routing/duty.go
+++ b/internal/routing/duty.go
@@ -14,6 +14,9 @@
 // Shed asks to close the connections to a member that carry nothing.
 type Shed struct{ Member rules.MemberID }
 
+// Forget asks to let go of all that is kept for a member: it will not be heard of under this number again.
+type Forget struct{ Member rules.MemberID }
+
 // Spread asks to send a message to all fellow drivers.
 type Spread struct{ Message []byte }
 
@@ -22,5 +25,6 @@
 
 func (Look) duty()   {}
 func (Shed) duty()   {}
+func (Forget) duty() {}
 func (Spread) duty() {}
 func (Follow) duty() {}
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -28,9 +28,14 @@
 
 func (h *host) CloseIdle(to rules.MemberID) { h.add(Shed{Member: to}) }
 
+func (h *host) Forget(id rules.MemberID) {
+	h.registry.forget(id)
+	h.add(Forget{Member: id})
+}
+
 func (h *host) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
 	h.looks[to] = append(h.looks[to], next)
-	h.add(Look{Member: to, Address: h.registry.addresses[to]})
+	h.add(Look{Member: to, Address: h.registry.address(to)})
 }
 
 func (h *host) After(wait int64, next func()) {
@@ -46,7 +51,7 @@
 func (h *host) Tell(news []rules.News) {
 	var message []byte
 	for _, n := range news {
-		message = protocol.AppendNews(message, protocol.News{Member: h.registry.keys[n.Member], Role: uint8(n.Role),
+		message = protocol.AppendNews(message, protocol.News{Member: h.registry.known[n.Member].key, Role: uint8(n.Role),
 			Position: n.Position / milli, Took: n.Took / milli})
 	}
 	h.add(Spread{Message: message})
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -7,32 +7,60 @@
 	"sedgespread/rules"
 )
 
-// registry knows the members by the names that discovery has for them.
+// registry knows the members by the names that discovery has for them. A number is never used again, so that
+// nothing which is late and names a member that has gone is taken for another's.
 type registry struct {
-	numbers   map[string]rules.MemberID
-	keys      []uint64 // the same at every driver
-	byKey     map[uint64]rules.MemberID
-	addresses []string
+	numbers map[string]rules.MemberID
+	known   map[rules.MemberID]*listed
+	byKey   map[uint64]rules.MemberID
+	last    rules.MemberID
+}
+
+// listed is what the list says of a member.
+type listed struct {
+	name    string
+	key     uint64 // the same at every driver
+	address string
 }
 
 func newRegistry() registry {
-	return registry{numbers: map[string]rules.MemberID{}, byKey: map[uint64]rules.MemberID{}}
+	return registry{numbers: map[string]rules.MemberID{}, known: map[rules.MemberID]*listed{},
+		byKey: map[uint64]rules.MemberID{}}
 }
 
 // number gives a member's number, a new one for a member not known.
 func (r *registry) number(name string) rules.MemberID {
 	id, known := r.numbers[name]
 	if !known {
-		id = rules.MemberID(len(r.keys))
+		r.last++
+		id = r.last
 		hash := fnv.New64a()
 		hash.Write([]byte(name))
-		key := hash.Sum64() & protocol.MostMember
-		r.numbers[name], r.byKey[key] = id, id
-		r.keys, r.addresses = append(r.keys, key), append(r.addresses, "")
+		l := &listed{name: name, key: hash.Sum64() & protocol.MostMember}
+		r.numbers[name], r.known[id], r.byKey[l.key] = id, l, id
 	}
 	return id
 }
 
+// forget forgets a member.
+func (r *registry) forget(id rules.MemberID) {
+	if l := r.known[id]; l != nil {
+		delete(r.numbers, l.name)
+		delete(r.known, id)
+		if r.byKey[l.key] == id {
+			delete(r.byKey, l.key)
+		}
+	}
+}
+
+// address is where a member is, empty for one not known.
+func (r *registry) address(id rules.MemberID) string {
+	if l := r.known[id]; l != nil {
+		return l.address
+	}
+	return ""
+}
+
 var lifecycles = map[protocol.Lifecycle]rules.State{protocol.Serving: rules.Healthy, protocol.Draining: rules.Draining,
 	protocol.Deleted: rules.Gone}
 
@@ -40,7 +68,7 @@
 func (r *registry) listing(t protocol.Target) rules.Listing {
 	id := r.number(t.ID)
 	if t.Address != "" {
-		r.addresses[id] = t.Address
+		r.known[id].address = t.Address
 	}
 	return rules.Listing{Member: id, Group: rules.GroupID(t.Group), Zone: t.Zone, State: lifecycles[t.Lifecycle],
 		Started: int64(t.Started) * milli}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -108,7 +108,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	waiting := r.looks[to]
-	r.looks[to] = waiting[1:]
+	if r.looks[to] = waiting[1:]; len(waiting) == 1 {
+		delete(r.looks, to)
+	}
 	found := o.found()
 	found.Opened = r.at(o.Opened)
 	waiting[0](found)
@@ -159,11 +161,12 @@
 	}
 }
 
-// Member is the number of a member that discovery knows by a name.
-func (r *Router) Member(name string) rules.MemberID {
+// Member is the number of a member that discovery knows by a name, if it is known here.
+func (r *Router) Member(name string) (id rules.MemberID, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.registry.number(name)
+	id, known = r.registry.numbers[name]
+	return id, known
 }
 
 // Probes tells whether members are probed.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -116,6 +118,9 @@
 	trip, err := r.Admit(&s)
 	require.NoError(t, err)
 	require.Equal(t, PushBack, trip.Pick().Act)
+	for id := range r.ids.held {
+		require.NotSame(t, unsafe.StringData(s.ID), unsafe.StringData(id), "an id must not hold its whole statement in memory")
+	}
 	require.Equal(t, errID, admit(func(s *protocol.Statement) {}))
 	require.True(t, r.ids.open("8", time.Now().Add(idKept)))
 	require.Equal(t, map[string]bool{"8": true}, r.ids.held)
@@ -162,6 +167,37 @@
 	require.Empty(t, r.trips)
 }
 
+// Guards against a driver that grows with each member that comes and goes, and against a number that is used again:
+// what is late and names the one that had it would be taken for the newcomer's.
+func TestMembersComeAndGo(t *testing.T) {
+	r := begin(t, "a")
+	numbers := map[rules.MemberID]bool{}
+	gone := 0
+	for turn := range 5 {
+		t := protocol.Targets{Whole: true}
+		for i := range 100 {
+			t.Entries = append(t.Entries, protocol.Target{ID: fmt.Sprint(turn, "-", i), Address: "there", Group: 1})
+		}
+		t.Entries = append(t.Entries, protocol.Target{ID: fmt.Sprint("left-", turn), Group: 1, Lifecycle: protocol.Deleted})
+		r.ReportList(t)
+		for id := range r.registry.known {
+			numbers[id] = true
+		}
+	}
+	for gone < 406 { // 5 were never more than leaving
+		switch duty := next[Duty](t, r).(type) {
+		case Look:
+			r.ReportLook(duty.Member, Outcome{End: transport.DialRefused})
+		case Forget:
+			gone++
+		}
+	}
+	require.Len(t, r.registry.known, 100)
+	require.Len(t, r.registry.numbers, 100)
+	require.Len(t, r.registry.byKey, 100)
+	require.Len(t, numbers, 501)
+}
+
 // Guards against news that name another member at a driver that knows the members in another order.
 func TestNewsMeanTheSameEverywhere(t *testing.T) {
 	one, other := begin(t, "a", "b"), begin(t, "c", "b", "a")
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"sedgespread/internal/protocol"
@@ -75,10 +76,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.ids.open(s.ID, time.Now()) {
+	id := strings.Clone(s.ID) // which outlives the statement
+	if !r.ids.open(id, time.Now()) {
 		return nil, errID
 	}
-	return r.take(rpc, s.ID), nil
+	return r.take(rpc, id), nil
 }
 
 // take accepts an RPC, whose ID is set here. The lock is held.
@@ -139,7 +141,7 @@
 	by, cancel := context.WithCancelCause(by)
 	t.calls = append(t.calls, call{sent: r.now(), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
 	t.out++
-	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.addresses[to], By: by}
+	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.address(to), By: by}
 	return n
 }
 
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -345,6 +345,9 @@
 	d.ended(id)
 }
 
+// Forget has nothing to do: the wire's own numbers are used.
+func (d *driver) Forget(rules.MemberID) {}
+
 func (d *driver) CloseIdle(to rules.MemberID) {
 	d.begin("CLOSE_IDLE").number("member", int64(to)).send()
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -26,6 +26,8 @@
 	parting End  // asked to end between messages
 	parted  bool // and nothing came before reading stopped
 	wasting int  // bytes that may still be read to be thrown away
+	hurry   time.Duration
+	stalled *time.Timer // ends the connection once nothing has come for as long as hurry
 	end     End
 
 	out      Ring
@@ -83,6 +85,9 @@
 		n, err := c.nc.Read(space)
 		c.mu.Lock()
 		c.in.used += n
+		if n > 0 && c.hurry > 0 {
+			c.stalled.Reset(c.hurry)
+		}
 		parted := c.part(err)
 		c.moved.Broadcast()
 		c.mu.Unlock()
@@ -232,6 +237,18 @@
 	}
 }
 
+// Hurry ends the connection as Stalled once the peer has sent nothing for a while, from now on; 0 calls that off.
+func (c *Conn) Hurry(while time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stalled != nil {
+		c.stalled.Stop()
+	}
+	if c.hurry = while; while > 0 {
+		c.stalled = time.AfterFunc(while, func() { c.Close(Stalled) })
+	}
+}
+
 // Linger ends this side's sending and gives the peer a while to read what was sent, and to end its own. Up to waste
 // bytes that still come are thrown away: what is unread at the close would make it a reset, which may overtake them.
 func (c *Conn) Linger(while time.Duration, waste int) {
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -128,6 +128,15 @@
 	time.AfterFunc(time.Millisecond, func() { c.Cut(Stalled) })
 	require.Equal(t, Stalled, c.Await(3))
 
+	c, far, _ = pair(t, 1000)
+	c.Hurry(200 * time.Millisecond)
+	for range 10 { // in pieces, but never as long without any
+		time.Sleep(30 * time.Millisecond)
+		far.Write([]byte("a"))
+	}
+	require.Equal(t, Open, c.Await(10))
+	require.Equal(t, Stalled, c.Await(11))
+
 	c, far, _ = pair(t, 1000)
 	go func() {
 		far.Write([]byte(strings.Repeat("x", 100<<10)))
--- a/rules/api.go
+++ b/rules/api.go
@@ -186,6 +186,7 @@
 	PushBack(id RPCID, comeBack int64)
 	Abort(id RPCID)
 	CloseIdle(to MemberID) // the connections to it that carry nothing
+	Forget(id MemberID)    // nothing is asked of it any more, unless the list names it again
 	Probe(to MemberID, next func(ProbeResult))
 	After(wait int64, next func())
 	Watch()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -73,7 +73,10 @@
 	}
 	for _, l := range lines {
 		m, known := d.index[l.Member]
-		if !known {
+		if !known && l.State != Healthy {
+			d.host.Forget(l.Member)
+			continue
+		} else if !known {
 			m = d.add(l, float64(firstTook), float64(firstGap), d.first)
 		}
 		d.listed(m, l.State)
@@ -94,9 +97,7 @@
 		d.state[m] = s
 	}
 	if s == Healthy && !d.kept[m] {
-		d.kept[m] = true
-		d.keeping++
-		d.of[m].members = append(d.of[m].members, m)
+		d.keep(m)
 		if d.allowed.Probes && d.crew.News == 0 {
 			d.probeLoop(m)
 		} else if d.allowed.Probes { // the first to look tells the others
@@ -122,10 +123,9 @@
 // brought a position since stands in for the probe. In the mean it makes no more probes than it takes RPCs.
 func (d *Driver) probeLoop(m member) {
 	now := d.host.Now()
-	if d.state[m] != Healthy && now-max(d.heard[m], d.learned[m]) > forgetAfter {
-		d.kept[m] = false
-		d.keeping--
-		d.of[m].members = slices.DeleteFunc(d.of[m].members, func(o member) bool { return o == m })
+	idle := d.out[m] == 0 && d.asking[m] == 0
+	if idle && d.state[m] != Healthy && now-max(d.heard[m], d.learned[m]) > forgetAfter {
+		d.drop(m)
 		return
 	}
 	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-d.learned[m]
@@ -146,8 +146,8 @@
 
 func (d *Driver) probe(m member) {
 	now := d.host.Now()
-	if d.asking[m] != 0 {
-		return // one is on its way
+	if d.asking[m] != 0 || !d.kept[m] {
+		return // one is on its way, or the member was dropped
 	}
 	d.asking[m] = now
 	d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
@@ -480,7 +480,7 @@
 
 // wake looks again at the RPCs held for a group, those of most utility first.
 func (d *Driver) wake(g *group) {
-	if len(g.held) == 0 {
+	if g == nil || len(g.held) == 0 {
 		return
 	}
 	queue, now := slices.DeleteFunc(g.held, func(c *call) bool { return c.ended }), d.host.Now()
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -65,6 +65,7 @@
 	probes  int
 	watches int
 	closes  int
+	forgot  int
 	told    []rules.News
 	methods []rules.Method
 	crew    rules.Crew
@@ -91,6 +92,7 @@
 
 func (p *player) Cancel(rules.RPCID, int)  {}
 func (p *player) CloseIdle(rules.MemberID) { p.closes++ }
+func (p *player) Forget(rules.MemberID)    { p.forgot++ }
 func (p *player) Watch()                   { p.watches++ }
 func (p *player) Log(string)               {}
 func (p *player) Tell(news []rules.News)   { p.told = append(p.told, news...) }
@@ -355,8 +357,8 @@
 		low, high, _ := strings.Cut(w[2], "..")
 		require.GreaterOrEqual(p.t, p.sent[p.number(w[1])], p.number(low), p.at)
 		require.LessOrEqual(p.t, p.sent[p.number(w[1])], p.number(high), p.at)
-	case "watches", "probes", "closes": // so many so far
-		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes}
+	case "watches", "probes", "closes", "forgets": // so many so far
+		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes, "forgets": p.forgot}
 		require.Equal(p.t, p.number(w[1]), counts[w[0]], p.at)
 	case "tells":
 		require.True(p.t, slices.ContainsFunc(p.told, func(n rules.News) bool { return int(n.Member) == p.number(w[1]) }), p.at)
--- a/rules/state.go
+++ b/rules/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 )
 
 type member int // dense index of a member in the parallel arrays of the parts below
@@ -17,8 +18,9 @@
 	of      []*group
 	zone    []string
 	state   []State
-	kept    []bool // member of its group, looked at by a probe loop where probes are allowed
-	keeping int    // members that are
+	kept    []bool   // member of its group, looked at by a probe loop where probes are allowed
+	keeping int      // members that are
+	free    []member // places of members that were dropped
 }
 
 // sightings are the positions and roles seen. Times are 0 for never, here and below.
@@ -103,27 +105,66 @@
 	gap           float64          // smoothed time between RPCs
 }
 
+// place gives a place in the arrays, with nothing of whoever had it before.
+func (d *Driver) place() member {
+	m := member(len(d.ids))
+	if last := len(d.free) - 1; last >= 0 {
+		m, d.free = d.free[last], d.free[:last]
+	}
+	blank(m, &d.ids)
+	blank(m, &d.of)
+	blank(m, &d.zone)
+	blank(m, &d.state)
+	blank(m, &d.role)
+	blank(m, &d.started, &d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed, &d.answered,
+		&d.timed, &d.borne, &d.since)
+	blank(m, &d.silent, &d.back, &d.untold, &d.missed, &d.kept)
+	blank(m, &d.out, &d.lost, &d.refused)
+	blank(m, &d.room, &d.took, &d.strain)
+	return m
+}
+
+func blank[T any](m member, arrays ...*[]T) {
+	for _, a := range arrays {
+		if int(m) == len(*a) {
+			*a = append(*a, *new(T))
+		}
+		(*a)[m] = *new(T)
+	}
+}
+
+// keep makes a member one of its group.
+func (d *Driver) keep(m member) {
+	d.kept[m] = true
+	d.keeping++
+	d.of[m].members = append(d.of[m].members, m)
+}
+
+// drop gives a member's place back. Nothing may be out for it.
+func (d *Driver) drop(m member) {
+	g := d.of[m]
+	g.members = slices.DeleteFunc(g.members, func(o member) bool { return o == m })
+	if g.primary == m {
+		g.primary = nobody
+	}
+	d.kept[m] = false
+	d.keeping--
+	delete(d.index, d.ids[m])
+	d.free = append(d.free, m)
+	d.host.Forget(d.ids[m])
+}
+
 // add makes room for a member in the arrays; took, gap and room are what to expect at first.
 func (d *Driver) add(l Listing, took, gap, room float64) member {
-	m := member(len(d.ids))
+	m := d.place()
 	g := d.groups[l.Group]
 	if g == nil {
 		g = &group{id: l.Group, primary: nobody, took: took, gap: gap}
 		d.groups[l.Group] = g
 	}
 	d.index[l.Member] = m
-	d.ids, d.of, d.zone = append(d.ids, l.Member), append(d.of, g), append(d.zone, l.Zone)
-	d.state, d.started = append(d.state, l.State), append(d.started, l.Started)
-	for _, a := range []*[]int64{&d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed,
-		&d.answered, &d.timed, &d.borne, &d.since} {
-		*a = append(*a, 0)
-	}
-	for _, a := range []*[]bool{&d.silent, &d.back, &d.untold, &d.missed, &d.kept} {
-		*a = append(*a, false)
-	}
-	d.out, d.lost, d.role = append(d.out, 0), append(d.lost, 0), append(d.role, RoleUnknown)
-	d.room, d.took = append(d.room, room), append(d.took, g.took)
-	d.strain, d.refused = append(d.strain, 0), append(d.refused, 0)
+	d.ids[m], d.of[m], d.zone[m], d.state[m], d.started[m] = l.Member, g, l.Zone, l.State, l.Started
+	d.room[m], d.took[m] = room, g.took
 	return m
 }
 
