Lost call-outs, broken links and held RPCs no longer make sound members look bad

Checked with a build that prints ends, probes and, for each RPC held in vain, its primary's figures. wide+reset+stale: a third refused still 7 s after all members of a group had restarted, with room free: only thawed said no. Its measure of the traffic, the gap between call-outs, had grown from 11 to 80 ms, since what is held back makes no call-out: the less was sent the less was allowed. 20 members silent though heard 3 to 30 ms before: their probe's connection was reset. 14 set aside for resets that came together. rate+silent+leave: rooms of primaries fell to 1 after a few call-outs on connections that fell silent, while the others were answered in 20 to 50 ms. Ruled out: descriptors, CPU, connections to members (others went through), the list. To blame, in rules.go: the gap learnt in callOut at all times; judge taking any long wait for slowness and any break for a loss; probed taking any broken probe for silence. Now: the gap only grows while nothing is held; a call-out that more answers overtook than were ahead of it teaches nothing; what broke strikes no member that finished others within 150 ms, and silences none heard within 150 ms. Could harm where a member answers probes of one kind of call only; where traffic falls for good while RPCs are held (the gap then follows late).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -40,6 +40,7 @@
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
 	quick         = 0.2      // strain below which what is overdue was lost, not slow
 	strikesOut    = 3        // call-outs lost in a row that set a member aside
+	overtakers    = 2        // answers out of turn that show a call-out lost or heavy, and its member sound
 )
 
 // New makes a driver that knows nothing yet; the first List follows at once.
@@ -163,7 +164,7 @@
 	if r.Cause == NoCause || r.Cause == Full || r.Cause == Errored { // whatever it answers it is alive
 		d.alive(m, r.Opened)
 		d.sighted(m, r.Sighting, false)
-	} else {
+	} else if d.host.Now()-d.heard[m] >= hush { // else it lives, and only the probe's connection broke
 		d.hushed(m)
 		if d.crew.News == 0 { // look again soon: it may have stood still for a moment
 			d.host.After(max(d.due, d.host.Now()-d.since[m]), func() { d.probe(m) })
@@ -399,16 +400,12 @@
 	if d.started[m] == 0 || age >= d.WarmAfter {
 		return true
 	}
-	g, mates := d.of[m], 1.0 // those that bore the mean traffic: members that left long ago did not
-	for _, o := range g.members {
-		if o != m && (d.state[o] == Healthy || float64(now-d.heard[o]) < 20*g.gap) {
-			mates++
-		}
-	}
+	g := d.of[m]
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
 	span := min(savedUp*g.gap, float64(now-max(d.fed[m], d.started[m]))) // since the last lot
 	d.fed[m] = now
-	rate := max(1/(g.gap*mates), float64(d.borne[m])/float64(max(10*sec, now-d.begun))) // or what it bore
+	bore := float64(d.borne[m]) / float64(max(10*sec, now-d.begun)) // itself, in the mean
+	rate := max(bore, 1/(g.gap*max(1, g.bore)))
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
@@ -492,7 +489,6 @@
 	for _, c := range queue {
 		if looks := c.looks; !stuck[c.Method] {
 			if m := d.pick(c); m != nobody {
-				c.held = false
 				d.callOut(c, m)
 				continue
 			}
@@ -508,13 +504,24 @@
 	c.tried = append(c.tried, m)
 	d.out[m]++
 	g := c.group
-	g.gap, g.last = g.gap+0.05*(min(float64(max(now-g.last, ms/10)), 4*g.gap)-g.gap), now
+	apart := min(float64(max(now-g.last, ms/10)), 4*g.gap)
+	if !c.held && len(g.held) == 0 || apart < g.gap { // what is held back shows too little of the traffic
+		g.gap += 0.05 * (apart - g.gap)
+		g.bore = 0 // members that bear it: some that left long ago did not
+		for _, o := range g.members {
+			if d.state[o] == Healthy || float64(now-d.heard[o]) < 20*g.gap {
+				g.bore++
+			}
+		}
+	}
+	g.last, c.held = now, false
 	number, counted, wait := 0, true, d.tooLong(c, m)
+	before := d.borne[m] + int64(d.out[m]) // answers to come first where none overtakes another
 	number = d.host.CallOut(c.ID, d.ids[m], d.patience(c, m), func(r Result) {
 		if r.Proof != Started && counted {
 			d.out[m]--
 		}
-		d.judge(c, m, r, r.Took >= wait)
+		d.judge(c, m, r, r.Took >= wait && d.borne[m] < before+overtakers)
 		d.settle(c, m, now, number, r)
 	})
 	c.out = append(c.out, number)
@@ -584,7 +591,7 @@
 
 func (d *Driver) next(c *call, m member, sent int64, r Result) {
 	if r.Final || r.Proof == OK {
-		d.remember(c, r.Position)
+		d.remember(c, r.Position, forgetAfter)
 		d.end(c)
 		return
 	}
@@ -604,19 +611,6 @@
 	}
 }
 
-// remember keeps a session's last commit. Those of long ago are dropped, the newest of them holds for all.
-func (d *Driver) remember(c *call, commit int64) {
-	if c.method.Need == NeedPrimary && !d.store.Carried {
-		d.tokens[c.Session] = max(d.tokens[c.Session], commit)
-	}
-	if now := d.host.Now(); now > d.swept+forgetAfter {
-		for _, t := range d.older {
-			d.floor = max(d.floor, t)
-		}
-		d.older, d.tokens, d.swept = d.tokens, map[string]int64{}, now
-	}
-}
-
 // finish gives up on an RPC: pushed back where a further try of the client does no harm, aborted otherwise.
 func (d *Driver) finish(c *call) {
 	harmless := c.risk == 0 && len(c.out) == 0 || c.method.Effect == Idempotent ||
@@ -643,6 +637,7 @@
 		d.sighted(m, r.Sighting, true)
 	}
 	switch {
+	case !long && now-d.timed[m] < hush && (r.Cause == Errored || r.Cause == Reset): // it finishes others
 	case r.Cause == Errored || r.Cause == Reset || long && (r.Cause == TimedOut || r.Cause == Cancelled):
 		d.strike(m, now)
 		if long {
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -185,6 +185,8 @@
 		p.rpc(w[1:])
 	case "result":
 		p.result(w[1:])
+	case "flow":
+		p.flow(w[1:])
 	case "told":
 		n := rules.News{Member: rules.MemberID(p.number(w[1])), Sighting: p.sighting(w[2:])}
 		if _, took, slow := strings.Cut(w[len(w)-1], "took="); slow {
@@ -308,6 +310,22 @@
 	}
 }
 
+// flow takes RPCs one after another, "flow 1-99 read 10ms"; what goes out is ok before the next comes.
+func (p *player) flow(w []string) {
+	first, last, _ := strings.Cut(w[0], "-")
+	for id := p.number(first); id <= p.number(last); id++ {
+		p.rpc([]string{strconv.Itoa(id), w[1]})
+		p.wait(p.span(w[2]))
+		for _, r := range p.rpcs {
+			if n := len(r.next) - 1; n >= 0 && r.next[n] != nil && p.now-r.sentAt[n] < int64(100*time.Millisecond) {
+				next := r.next[n]
+				r.next[n], r.answer = nil, "ok"
+				next(rules.Result{Proof: rules.OK, Final: true, Took: p.now - r.sentAt[n]})
+			}
+		}
+	}
+}
+
 // result ends the last call-out of an RPC that is still out.
 func (p *player) result(w []string) {
 	rpc := p.rpcs[rules.RPCID(p.number(w[0]))]
--- a/rules/state.go
+++ b/rules/state.go
@@ -63,6 +63,7 @@
 	held      []*call
 	last      int64
 	gap, took float64 // smoothed: between this driver's call-outs; answer time
+	bore      float64 // members that the call-outs were for
 }
 
 // call is an RPC being worked on.
@@ -208,4 +209,17 @@
 	}
 }
 
+// remember keeps a session's last commit for one to two spans; of those dropped the newest holds for all sessions.
+func (d *Driver) remember(c *call, commit, span int64) {
+	if c.method.Need == NeedPrimary && !d.store.Carried {
+		d.tokens[c.Session] = max(d.tokens[c.Session], commit)
+	}
+	if now := d.host.Now(); now > d.swept+span {
+		for _, t := range d.older {
+			d.floor = max(d.floor, t)
+		}
+		d.older, d.tokens, d.swept = d.tokens, map[string]int64{}, now
+	}
+}
+
 func (d *Driver) logf(format string, args ...any) { d.host.Log(fmt.Sprintf(format, args...)) }
