Members slow by themselves keep room for a few; strain counts what late answers are worth

Ruled out: no primary (218 held, only while it changed), the cold budget, set aside, connections, descriptors. A third of the call-outs that timed out at 30 to 45 s were of clients with 60 to 160 ms to wait: theirs to lose. To blame: teach, which shrinks room to 1 whatever the member's own speed, and measures writes against the soft deadline though late ones keep most of their utility. Now: half of the first room at the least, and strain against ample().

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,10 +1,7 @@
-// Package rules decides where a driver sends each RPC of a replicated store.
-//
-// To use it: build a Driver with New, hand it every change of the list (List, ListFailed), every RPC taken
-// (Take) and every RPC whose client went away (Left). It acts through its Host, declared with all other types
-// in api.go; the Host keeps the closures that the module leaves behind and hands them their results. What a
-// Driver knows lies in the arrays of state.go, decided is all here.
-// All calls for one Driver must come one after another. docs/design.md tells what comes from the source.
+// Package rules decides where a driver sends each RPC of a replicated store. Build a Driver with New, hand it
+// every change of the list, every RPC taken and each whose client left. It acts through its Host (api.go),
+// which keeps the closures left behind and hands them their results. What a Driver knows lies in state.go,
+// decided is all here. Calls must come one after another. docs/design.md tells what comes from the source.
 package rules
 
 import (
@@ -139,8 +136,7 @@
 	d.host.After(wait+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
 }
 
-// old tells whether a member's position is so old that a probe could bring better: one that was far behind
-// has not caught up in less than half of that.
+// old tells whether a probe could bring a better position: who was far behind needs half of that to catch up.
 func (d *Driver) old(m member) bool {
 	return d.learned[m] == 0 || d.host.Now()-d.learned[m] >= max(d.due, min(d.learned[m]-d.pos[m], 4*sec)/2)
 }
@@ -238,8 +234,7 @@
 	d.heard[m] = now
 }
 
-// sighted takes in a role and a position. A position never goes back, so evidence with one older than the
-// known is older itself, and its role is ignored.
+// sighted takes in a role and a position. Positions never go back: an older one comes with an older role.
 func (d *Driver) sighted(m member, s Sighting, answer bool) {
 	now := d.host.Now()
 	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
@@ -363,8 +358,7 @@
 	return inTime && float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.usable(m) && d.mayRepeat(c, m)
 }
 
-// windowed picks at random among the passers whose expected answer time lies in the latency window; one that
-// was looked at is the pick already.
+// windowed picks at random among passers in the latency window; one that was looked at is the pick already.
 func (d *Driver) windowed(passers []member, looked member) member {
 	if len(passers) == 0 {
 		return nobody
@@ -507,12 +501,7 @@
 	apart := min(float64(max(now-g.last, ms/10)), 4*g.gap)
 	if !c.held && len(g.held) == 0 || apart < g.gap { // what is held back shows too little of the traffic
 		g.gap += 0.05 * (apart - g.gap)
-		g.bore = 0 // members that bear it: some that left long ago did not
-		for _, o := range g.members {
-			if d.state[o] == Healthy || float64(now-d.heard[o]) < 20*g.gap {
-				g.bore++
-			}
-		}
+		g.bore = d.bearers(g, now-int64(20*g.gap))
 	}
 	g.last, c.held = now, false
 	number, counted, wait := 0, true, d.tooLong(c, m)
@@ -623,8 +612,7 @@
 	d.end(c)
 }
 
-// judge learns from a result how its member fares. A call-out that was not waited for long is no sign of it:
-// its client's time was short.
+// judge learns from a result how its member fares, but not where its client had little time to wait for it.
 func (d *Driver) judge(c *call, m member, r Result, long bool) {
 	now := d.host.Now()
 	switch cause := r.Cause; {
@@ -641,14 +629,14 @@
 	case r.Cause == Errored || r.Cause == Reset || long && (r.Cause == TimedOut || r.Cause == Cancelled):
 		d.strike(m, now)
 		if long {
-			d.teach(m, max(float64(r.Took), d.took[m]), c.method.SoftDeadline, false)
+			d.teach(m, max(float64(r.Took), d.took[m]), c.method.ample(), false)
 		}
 	case r.Proof == OK:
 		d.borne[m]++
 		d.lost[m], d.refused[m], d.answered[m] = 0, 0, r.Took
 		d.missed[m] = d.missed[m] && c.method.Need == NeedAny
 		c.group.took += 0.03 * (float64(r.Took) - c.group.took)
-		d.teach(m, float64(r.Took), c.method.SoftDeadline, true)
+		d.teach(m, float64(r.Took), c.method.ample(), true)
 	case r.Cause == Missed && c.isRead():
 		d.missed[m] = true
 	case r.Cause == Full:
@@ -657,16 +645,22 @@
 	}
 }
 
+// ample is how long an answer may take without losing much: past the soft deadline by what late ones are worth.
+func (m *Method) ample() int64 {
+	return m.SoftDeadline + int64(m.LateUtility*float64(max(0, m.Deadline-m.SoftDeadline)))
+}
+
 // teach learns how long a member takes, also from a call-out waited for in vain: guards against members so
 // crowded that none of their answers counts. Its room grows while answers come well in time, doubling on a
 // trickle, and shrinks while they strain the soft deadline: such work is better held than done in vain.
 func (d *Driver) teach(m member, took float64, soft int64, ok bool) {
 	d.learn(m, took, soft)
+	least := max(1, min(d.room[m], d.first/2)) // so few do not queue: what is slow then is slow by itself
 	switch {
 	case !ok && d.strain[m] > quick:
-		d.room[m] = max(1, d.room[m]*0.85)
+		d.room[m] = max(least, d.room[m]*0.85)
 	case d.strain[m] > strained:
-		d.room[m] = max(1, d.room[m]*0.95)
+		d.room[m] = max(least, d.room[m]*0.95)
 		d.back[m] = false
 	case ok && d.back[m]:
 		d.room[m] *= 2
@@ -691,8 +685,7 @@
 	d.rest(m)
 }
 
-// rest leaves a member that refused work alone for a moment, the longer the more often it did so in a row:
-// many drivers that come back at once would all be refused again.
+// rest leaves a member alone that refused work, longer each time: many drivers would come back at once.
 func (d *Driver) rest(m member) {
 	d.refused[m] = min(d.refused[m]+1, 5)
 	wait := fullRest/2<<d.refused[m]/2 + d.rng.Int63n(fullRest/2<<d.refused[m])
--- a/rules/state.go
+++ b/rules/state.go
@@ -141,6 +141,17 @@
 	d.of[m].members = append(d.of[m].members, m)
 }
 
+// bearers counts the members of a group that the list has, or that were heard since: those that left long ago
+// bore none of its call-outs.
+func (d *Driver) bearers(g *group, since int64) (count float64) {
+	for _, m := range g.members {
+		if d.state[m] == Healthy || d.heard[m] > since {
+			count++
+		}
+	}
+	return count
+}
+
 // drop gives a member's place back. Nothing may be out for it.
 func (d *Driver) drop(m member) {
 	g := d.of[m]
