--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -88,6 +88,24 @@
 
 func big() string { return strings.Repeat("x", 1<<20) }
 
+// Guards against a client that asks and does not take its answers: what it holds up must be let go in the end.
+func TestClientThatDoesNotRead(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	v := start(t, newDiscovery(t, primary), nil)
+	tail := said("S", "node_role\x00leader\x00") + said("Z", "I")
+	primary.does("raw " + row(strings.Repeat(big(), 8)) + tail)
+	c := v.client(t)
+	for range 4 {
+		c.send(statement("write", 2000))
+	}
+	eventually(t, "its connection ends", func() bool {
+		_, err := io.WriteString(c, "Q")
+		return err != nil
+	})
+	primary.does("")
+	require.Equal(t, "from p", v.client(t).ask(t, statement("write", 1000)))
+}
+
 // Guards against a client that uses the id of another's RPC: the member would see it twice, and answer one of both.
 func TestSameID(t *testing.T) {
 	primary := newMember(t, "p", "leader")
