--- a/internal/program/lobby.go
+++ b/internal/program/lobby.go
@@ -39,27 +39,21 @@
 	begun  time.Time // when it was found to have begun a message, zero for never
 }
 
-// arrive notes that a client has connected.
-func (l *lobby) arrive(c protocol.Client) (leave func()) { return l.enter(&l.strangers, c) }
-
-// wait notes that a client waits for its next query.
-func (l *lobby) wait(c protocol.Client, guest bool) (leave func()) {
-	if guest {
-		return l.enter(&l.guests, c)
-	}
-	return l.enter(&l.strangers, c)
-}
-
-// enter gives a client a place. Once clients are to go it is let go, unless its query has come.
-func (l *lobby) enter(room *list.List, c protocol.Client) (leave func()) {
+// enter gives a client a place while it waits, as a guest or a stranger. Once clients are to go it is let go, unless
+// its query has come.
+func (l *lobby) enter(c protocol.Client, guest bool) (leave func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	room := &l.strangers
+	if guest {
+		room = &l.guests
+	}
 	if l.leaving {
 		c.Part(transport.ShutDown)
 	}
 	place := room.PushBack(&seat{client: c, since: time.Now()})
 	if room.Len() > l.d.Limit()/roomShare {
-		l.part(room, settledIn, room == &l.guests)
+		l.part(room, settledIn, guest)
 	}
 	return func() {
 		l.mu.Lock()
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -12,7 +12,7 @@
 
 // session serves one client for as long as its connection lasts.
 func (p *Program) session(c protocol.Client) {
-	leave := p.lobby.arrive(c)
+	leave := p.lobby.enter(c, false)
 	c.WriteWithin(longestWrite)
 	end := c.Welcome()
 	for guest := false; end == transport.Open; {
@@ -22,7 +22,7 @@
 			var taken bool
 			taken, end = p.query(c, text)
 			guest = guest || taken
-			leave = p.lobby.wait(c, guest)
+			leave = p.lobby.enter(c, guest)
 		}
 	}
 	leave()
@@ -43,11 +43,11 @@
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return false, p.emptyQuery(c)
 	}
+	var trip *routing.Trip
 	s, err := protocol.ParseStatement(text)
-	if err != nil {
-		return false, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
+	if err == nil {
+		trip, err = p.router.Admit(&s)
 	}
-	trip, err := p.router.Admit(&s)
 	if err != nil {
 		return false, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
 	}
