--- /dev/null
+++ b/internal/cells/book.go
@@ -0,0 +1,205 @@
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Stage is how far a tenant's move has come.
+//
+//	from       what has been seen                            to         what drivers do with the tenant's RPCs in it
+//	Resting    a move is asked for, and allowed              Prepared   all to the old cell
+//	Prepared   every driver knows of it                      Holding    writes are held, reads to the old cell
+//	Holding    no write is in flight anywhere: the cut       Catching   as before; the new cell nears the cut
+//	Catching   the new cell's members have reached the cut   Closing    all are held
+//	Closing    nothing is in flight anywhere                 Switched   all to the new cell, from the cut on
+//	Switched   every driver acts on it                       Resting    the move is done
+//	Prepared, Holding, Catching, Closing
+//	           it is called off, or has held writes too long Returning  all to the old cell
+//	Returning  every driver acts on it                       Resting    the move is undone
+//
+// "Every driver" and "anywhere" mean: each driver that may still act has said so, and all others' leases have provably
+// run out. After Switched there is no way back but another move.
+type Stage int
+
+const (
+	Resting Stage = iota
+	Prepared
+	Holding
+	Catching
+	Closing
+	Switched
+	Returning
+)
+
+var stageNames = [...]string{"resting", "prepared", "holding", "catching", "closing", "switched", "returning"}
+
+func (s Stage) String() string {
+	if s < 0 || int(s) >= len(stageNames) {
+		return fmt.Sprintf("stage %d", int(s))
+	}
+	return stageNames[s]
+}
+
+// before lists, for each stage, those that it may follow.
+var before = map[Stage][]Stage{
+	Prepared:  {Resting},
+	Holding:   {Prepared},
+	Catching:  {Holding},
+	Closing:   {Catching},
+	Switched:  {Closing},
+	Returning: {Prepared, Holding, Catching, Closing},
+	Resting:   {Switched, Returning},
+}
+
+// Entry is where one tenant is, by a decision of its own. It is what is written down and what drivers are sent.
+// Times and positions are Unix time in nanoseconds.
+type Entry struct {
+	Epoch  Epoch  `json:"epoch"`
+	Tenant Tenant `json:"tenant"`
+	Cell   string `json:"cell"` // where it is; the old cell until Switched
+	Stage  Stage  `json:"stage"`
+	To     string `json:"to,omitempty"`    // of a move under way: the new cell, or the one it came from where it returns
+	Floor  int64  `json:"floor,omitempty"` // position that a member must have reached to be read from
+	Cut    int64  `json:"cut,omitempty"`   // position that the new cell has to reach
+	At     int64  `json:"at"`              // when it was decided
+	Begun  int64  `json:"begun,omitempty"` // when the move began to hold writes, 0 for not yet
+	Why    string `json:"why,omitempty"`
+}
+
+// Book is where tenants are that are not where their names hash to, by the newest epoch known here.
+type Book struct {
+	layout  *Layout
+	pins    map[Tenant]Cell
+	entries map[Tenant]Entry
+	newest  Epoch
+}
+
+// NewBook makes a book in which nothing but pins is known.
+func NewBook(l *Layout, pins map[Tenant]Cell) *Book {
+	return &Book{layout: l, pins: pins, entries: map[Tenant]Entry{}}
+}
+
+// Seat is what a driver goes by for a tenant's RPCs.
+type Seat struct {
+	Cell  Cell
+	Epoch Epoch
+	Stage Stage
+	Floor int64
+}
+
+// Seat is where a tenant is: where a move has put it, else where it is pinned, else where its name hashes to.
+func (b *Book) Seat(t Tenant) Seat {
+	if len(b.entries) > 0 {
+		if e, known := b.entries[t]; known {
+			return Seat{Cell: b.layout.Find(e.Cell), Epoch: e.Epoch, Stage: e.Stage, Floor: e.Floor}
+		}
+	}
+	if c, pinned := b.pins[t]; pinned {
+		return Seat{Cell: c}
+	}
+	return Seat{Cell: b.layout.Home(t)}
+}
+
+// Entry is what a decision of its own says of a tenant.
+func (b *Book) Entry(t Tenant) (e Entry, known bool) {
+	e, known = b.entries[t]
+	return e, known
+}
+
+// Newest is the newest epoch that the book knows.
+func (b *Book) Newest() Epoch { return b.newest }
+
+// Apply takes in an entry. One whose epoch is not newer than what is known of its tenant changes nothing, and applied is
+// false. One that does not follow from what is known is an error: the book would not be what its writer held.
+func (b *Book) Apply(e Entry) (applied bool, err error) {
+	held, known := b.entries[e.Tenant]
+	if known && e.Epoch <= held.Epoch {
+		return false, nil
+	}
+	if b.layout.Find(e.Cell) == NoCell {
+		return false, fmt.Errorf("tenant %q, epoch %d: cell %q is not in the file", e.Tenant, e.Epoch, e.Cell)
+	}
+	if e.To != "" && b.layout.Find(e.To) == NoCell {
+		return false, fmt.Errorf("tenant %q, epoch %d: cell %q is not in the file", e.Tenant, e.Epoch, e.To)
+	}
+	b.entries[e.Tenant] = e
+	b.newest = max(b.newest, e.Epoch)
+	return true, nil
+}
+
+// follows tells whether an entry is a step of the table from what the book holds.
+func (b *Book) follows(e Entry) bool {
+	return slices.Contains(before[e.Stage], b.entries[e.Tenant].Stage) && e.Epoch > b.newest
+}
+
+// Since gives the entries with epochs above one, the oldest first.
+func (b *Book) Since(known Epoch) (newer []Entry) {
+	if known >= b.newest {
+		return nil
+	}
+	for _, e := range b.entries {
+		if e.Epoch > known {
+			newer = append(newer, e)
+		}
+	}
+	slices.SortFunc(newer, func(a, b Entry) int { return cmp.Compare(a.Epoch, b.Epoch) })
+	return newer
+}
+
+// Moving are the entries of moves under way, the oldest first.
+func (b *Book) Moving() (moving []Entry) {
+	for _, e := range b.Since(0) {
+		if e.Stage != Resting {
+			moving = append(moving, e)
+		}
+	}
+	return moving
+}
+
+// Seats are the cells of the tenants that are not where their names hash to.
+func (b *Book) Seats() map[Tenant]Cell {
+	seats := make(map[Tenant]Cell, len(b.pins)+len(b.entries))
+	for t, c := range b.pins {
+		seats[t] = c
+	}
+	for t, e := range b.entries {
+		seats[t] = b.layout.Find(e.Cell)
+	}
+	return seats
+}
+
+// Repin takes over the pins of a file read again. A tenant whose pin says otherwise than where it is now would be
+// elsewhere without having been moved.
+func (b *Book) Repin(pins map[Tenant]Cell) error {
+	if err := b.repinnable(pins); err != nil {
+		return err
+	}
+	b.pins = pins
+	return nil
+}
+
+func (b *Book) repinnable(pins map[Tenant]Cell) error {
+	var both []Tenant
+	for t := range pins {
+		both = append(both, t)
+	}
+	for t := range b.pins {
+		both = append(both, t)
+	}
+	slices.Sort(both)
+	for _, t := range slices.Compact(both) {
+		if _, moved := b.entries[t]; moved {
+			continue
+		}
+		next, pinned := pins[t]
+		if !pinned {
+			next = b.layout.Home(t)
+		}
+		if now := b.Seat(t).Cell; now != next {
+			return fmt.Errorf("tenant %q is in cell %q and would be in %q without a move", t, b.layout.Name(now), b.layout.Name(next))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cells/coordinator.go
@@ -0,0 +1,192 @@
+package cells
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Record is what a coordinator writes down: an entry, or the name of a driver that it gives leases to.
+type Record struct {
+	Entry  *Entry `json:"entry,omitempty"`
+	Driver string `json:"driver,omitempty"`
+}
+
+// Coordinator decides on moves for all drivers. Its methods propose records; whoever drives it writes them down and
+// then hands them to Apply, in their order and before anything is sent that rests on them. Records alone rebuild it.
+// Times are Unix time in nanoseconds, of one clock that does not go back.
+type Coordinator struct {
+	book   *Book
+	leases leases
+	hold   int64 // a move may hold writes so long
+}
+
+// mostMoves is how many moves may be under way at once: each is a part of every report.
+const mostMoves = 256
+
+// NewCoordinator starts at a time, over the records of the time before. A driver that they name may hold a lease given
+// just before that time.
+func NewCoordinator(now int64, b *Book, lease, hold int64, records []Record) (*Coordinator, error) {
+	c := &Coordinator{book: b, leases: leases{lease: lease, drivers: map[string]*holder{}}, hold: hold}
+	for _, r := range records {
+		if err := c.Apply(r); err != nil {
+			return nil, err
+		}
+	}
+	for _, h := range c.leases.drivers {
+		h.until = now + lease
+	}
+	return c, nil
+}
+
+// Apply takes in a record that has been written down.
+func (c *Coordinator) Apply(r Record) error {
+	if r.Driver != "" {
+		c.leases.known(r.Driver)
+	}
+	if r.Entry == nil {
+		return nil
+	}
+	if !c.book.follows(*r.Entry) {
+		return fmt.Errorf("tenant %q, epoch %d: %v does not follow %v at epoch %d", r.Entry.Tenant, r.Entry.Epoch,
+			r.Entry.Stage, c.book.entries[r.Entry.Tenant].Stage, c.book.newest)
+	}
+	_, err := c.book.Apply(*r.Entry)
+	return err
+}
+
+// Book is where tenants are.
+func (c *Coordinator) Book() *Book { return c.book }
+
+// Renew takes in a driver's report and proposes what must be written down before Grant may answer it.
+func (c *Coordinator) Renew(now int64, r Report) ([]Record, error) {
+	if r.Driver == "" {
+		return nil, fmt.Errorf("a driver needs a name")
+	}
+	if c.leases.drivers[r.Driver] == nil {
+		return []Record{{Driver: r.Driver}}, nil
+	}
+	return nil, nil
+}
+
+// Grant gives a driver its lease, with what is newer than what it acts on. Steps of moves are proposed by Step.
+func (c *Coordinator) Grant(now int64, r Report) Grant {
+	if r.Epoch > c.book.newest || !c.leases.take(now, r) {
+		return Grant{}
+	}
+	return Grant{Lease: c.leases.lease, Newest: c.book.newest, Entries: c.book.Since(r.Epoch)}
+}
+
+// Move proposes to move a tenant.
+func (c *Coordinator) Move(now int64, t Tenant, to string, why string) ([]Record, error) {
+	seat, held := c.book.Seat(t), c.book.entries[t]
+	target := c.book.layout.Find(to)
+	switch {
+	case t == "":
+		return nil, fmt.Errorf("a move needs a tenant's name")
+	case target == NoCell:
+		return nil, fmt.Errorf("there is no cell %q", to)
+	case held.Stage != Resting:
+		return nil, fmt.Errorf("tenant %q is being moved: %v, to %q, since epoch %d", t, held.Stage, held.To, held.Epoch)
+	case seat.Cell == target:
+		return nil, fmt.Errorf("tenant %q is in cell %q already", t, to)
+	case len(c.book.Moving()) >= mostMoves:
+		return nil, fmt.Errorf("%d moves are under way, which is the most", mostMoves)
+	}
+	e := Entry{Tenant: t, Cell: c.book.layout.Name(seat.Cell), Stage: Prepared, To: to, Floor: held.Floor, Why: why}
+	return c.propose(now, e), nil
+}
+
+// Abort proposes to call a move off.
+func (c *Coordinator) Abort(now int64, t Tenant, why string) ([]Record, error) {
+	e, known := c.book.entries[t]
+	switch {
+	case !known || e.Stage == Resting:
+		return nil, fmt.Errorf("tenant %q is not being moved", t)
+	case e.Stage == Returning:
+		return nil, fmt.Errorf("tenant %q is on its way back already", t)
+	case e.Stage == Switched:
+		return nil, fmt.Errorf("tenant %q has been switched to cell %q: only another move brings it back", t, e.Cell)
+	}
+	e.Stage, e.Why = Returning, why
+	return c.propose(now, e), nil
+}
+
+// propose numbers and dates an entry.
+func (c *Coordinator) propose(now int64, e Entry) []Record {
+	e.Epoch, e.At = c.book.newest+1, now
+	return []Record{{Entry: &e}}
+}
+
+// Step proposes the next step of a move that is ready for one, or nothing. Whoever drives it calls again until nothing
+// is proposed.
+func (c *Coordinator) Step(now int64) []Record {
+	for _, e := range c.book.Moving() {
+		if next, ready := c.next(now, e); ready {
+			return c.propose(now, next)
+		}
+	}
+	return nil
+}
+
+// next is the step that a move is ready for: the table at Stage.
+func (c *Coordinator) next(now int64, e Entry) (next Entry, ready bool) {
+	next = e
+	switch e.Stage {
+	case Prepared:
+		next.Stage, next.Begun = Holding, now
+		return next, c.leases.all(now, e, acts)
+	case Holding, Catching, Closing:
+		if now-e.Begun > c.hold {
+			next.Stage, next.Why = Returning, fmt.Sprintf("writes were held for over %d ms, at %v", c.hold/1_000_000, e.Stage)
+			return next, true
+		}
+	}
+	switch e.Stage {
+	case Holding:
+		next.Stage, next.Cut = Catching, c.cut(now, e)
+		return next, c.leases.all(now, e, func(m MoveReport) bool { return m.Writes == 0 })
+	case Catching:
+		next.Stage = Closing
+		return next, c.leases.any(e, func(m MoveReport) bool { return m.Reached })
+	case Closing:
+		next.Stage, next.Cell, next.To, next.Floor = Switched, e.To, e.Cell, max(e.Floor, e.Cut)
+		return next, c.leases.all(now, e, func(m MoveReport) bool { return m.Open == 0 })
+	case Switched, Returning:
+		next.Stage, next.To, next.Begun, next.Cut = Resting, "", 0, 0
+		return next, c.leases.all(now, e, acts)
+	}
+	return next, false
+}
+
+func acts(MoveReport) bool { return true }
+
+// cut is the position that the new cell has to reach: past every write that was answered. Those of drivers that told are
+// known; one whose lease ran out answered none after that, which is before now.
+func (c *Coordinator) cut(now int64, e Entry) int64 {
+	cut := now
+	for _, h := range c.leases.drivers {
+		cut = max(cut, h.moves[e.Tenant].Commit)
+	}
+	return cut
+}
+
+// Driver is what the coordinator knows of a driver.
+type Driver struct {
+	Name  string `json:"name"`
+	Until int64  `json:"until"` // its lease, Unix time in nanoseconds
+	Acts  Epoch  `json:"acts"`
+}
+
+// Drivers are those that have had leases, by name.
+func (c *Coordinator) Drivers() (drivers []Driver) {
+	for _, name := range c.leases.holders() {
+		h := c.leases.drivers[name]
+		drivers = append(drivers, Driver{Name: name, Until: h.until, Acts: h.acts})
+	}
+	return drivers
+}
+
+// Wants names the cells that have to be filled with a tenant's data just now: those of moves that may still switch.
+func (c *Coordinator) Wants() (moving []Entry) {
+	return slices.DeleteFunc(c.book.Moving(), func(e Entry) bool { return e.Stage == Returning })
+}
--- /dev/null
+++ b/internal/cells/leases.go
@@ -0,0 +1,102 @@
+package cells
+
+import "slices"
+
+// Report is what a driver tells the coordinator when it asks to renew its lease.
+type Report struct {
+	Driver      string       `json:"driver"`
+	Incarnation uint64       `json:"incarnation"` // newer after each start
+	Epoch       Epoch        `json:"epoch"`       // the newest that it acts on
+	Moves       []MoveReport `json:"moves,omitempty"`
+}
+
+// MoveReport is a driver's part of a move under way, as far as it knows the stage of that epoch.
+type MoveReport struct {
+	Tenant  Tenant `json:"tenant"`
+	Epoch   Epoch  `json:"epoch"`
+	Writes  int    `json:"writes"`  // that are in flight, or may still run
+	Open    int    `json:"open"`    // RPCs, the writes among them
+	Commit  int64  `json:"commit"`  // the newest that an answer told, Unix time in nanoseconds
+	Reached bool   `json:"reached"` // the new cell's members were seen at the cut or past it
+}
+
+// Grant is what the coordinator answers.
+type Grant struct {
+	Lease   int64   `json:"lease_ns"`          // it may act on what it knows for so long after it asked; 0 for a driver that is out of date
+	Newest  Epoch   `json:"newest"`            // of all entries, those that follow included
+	Entries []Entry `json:"entries,omitempty"` // newer than what it acts on
+}
+
+// leases is which drivers may act, on what, and until when. Names of drivers are written down before the first lease, so
+// that a coordinator that has started again knows whom it has to wait for.
+type leases struct {
+	lease   int64
+	drivers map[string]*holder
+}
+
+type holder struct {
+	incarnation uint64
+	until       int64 // it may act until then at the latest
+	acts        Epoch // on all up to there
+	moves       map[Tenant]MoveReport
+}
+
+// known gives a driver's record, which is made for one not known.
+func (l *leases) known(name string) *holder {
+	h := l.drivers[name]
+	if h == nil {
+		h = &holder{}
+		l.drivers[name] = h
+	}
+	return h
+}
+
+// take takes in a report and tells whether its driver may have a lease: not one that has been followed by a newer start
+// under its name.
+func (l *leases) take(now int64, r Report) bool {
+	h := l.known(r.Driver)
+	if r.Incarnation < h.incarnation {
+		return false
+	}
+	h.incarnation, h.until = r.Incarnation, now+l.lease
+	h.acts, h.moves = r.Epoch, make(map[Tenant]MoveReport, len(r.Moves))
+	for _, m := range r.Moves {
+		h.moves[m.Tenant] = m
+	}
+	return true
+}
+
+// all tells whether each driver that may still act acts on an epoch and passes a test on its part of a tenant's move. A
+// driver whose lease has run out acts on nothing until it has asked again.
+func (l *leases) all(now int64, e Entry, test func(MoveReport) bool) bool {
+	for _, h := range l.drivers {
+		if h.until < now {
+			continue
+		}
+		m, told := h.moves[e.Tenant]
+		if h.acts < e.Epoch || !told || m.Epoch != e.Epoch || !test(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// any tells whether some driver's part of a tenant's move passes a test.
+func (l *leases) any(e Entry, test func(MoveReport) bool) bool {
+	for _, h := range l.drivers {
+		if m, told := h.moves[e.Tenant]; told && m.Epoch == e.Epoch && test(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// holders are the names of the drivers known, in order.
+func (l *leases) holders() []string {
+	names := make([]string, 0, len(l.drivers))
+	for name := range l.drivers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/operator/check.go
@@ -0,0 +1,283 @@
+package operator
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"net/url"
+
+	"sedgespread/internal/cells"
+	"sedgespread/proto/operatorpb"
+	"sedgespread/rules"
+)
+
+// check tells the first thing that is wrong with a file that could be read.
+func (o *Orders) check() error {
+	if o.Admin != nil {
+		if err := o.loopback("admin.listen", o.Admin.Listen); err != nil {
+			return err
+		}
+	}
+	if o.Cells == nil {
+		return nil
+	}
+	for _, check := range []func() error{o.checkCells, o.checkTenancy, o.checkTenants, o.checkBudget, o.checkCoordination} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loopback checks an address that only this machine can reach.
+func (o *Orders) loopback(field, address string) error {
+	if address == "" {
+		return o.fault(field, "is missing")
+	}
+	at, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		return o.fault(field, "%q is not an address and a port", address)
+	case !at.Addr().IsLoopback():
+		return o.fault(field, "%q is not a loopback address", address)
+	}
+	return nil
+}
+
+// positive checks a number that may not be 0 or below where it is given.
+func (o *Orders) positive(field string, given *float64, least float64) error {
+	if given != nil && (!(*given >= least) || math.IsInf(*given, 0)) {
+		return o.fault(field, "%v is out of range", *given)
+	}
+	return nil
+}
+
+const leastWeight = 1e-6
+
+func (o *Orders) checkCells() error {
+	names, groups := map[string]bool{}, map[int64]string{}
+	if len(o.Cells.Cell) == 0 {
+		return o.fault("cells.cell", "there must be one at least")
+	}
+	hashed := false
+	for i, c := range o.Cells.Cell {
+		at := fmt.Sprintf("cells.cell[%d].", i)
+		switch {
+		case c.Name == "":
+			return o.fault(at+"name", "is missing")
+		case names[c.Name]:
+			return o.fault(at+"name", "%q stands twice", c.Name)
+		case len(c.Group) == 0:
+			return o.fault(at+"group", "cell %q has none", c.Name)
+		case c.Capacity < 0 || math.IsNaN(c.Capacity) || math.IsInf(c.Capacity, 0):
+			return o.fault(at+"capacity", "%v is out of range", c.Capacity)
+		}
+		names[c.Name] = true
+		for j, g := range c.Group {
+			field := fmt.Sprintf("%sgroup[%d]", at, j)
+			if other, taken := groups[g]; taken {
+				return o.fault(field, "group %d stands in cell %q already", g, other)
+			}
+			if g < 0 {
+				return o.fault(field, "%d is out of range", g)
+			}
+			groups[g] = c.Name
+		}
+		if c.Weight == nil || *c.Weight != 0 {
+			hashed = true
+			if err := o.positive(at+"weight", c.Weight, leastWeight); err != nil {
+				return err
+			}
+		}
+	}
+	if !hashed {
+		return o.fault("cells.cell", "all weights are 0: no cell takes the tenants that are not pinned")
+	}
+	if o.Cells.GroupsATenant > cells.MostSpread {
+		return o.fault("cells.groups_a_tenant", "%d is more than %d", o.Cells.GroupsATenant, cells.MostSpread)
+	}
+	return nil
+}
+
+func (o *Orders) checkTenancy() error {
+	y := o.Cells.Tenancy
+	if y.GetOthers() == "" {
+		return o.fault("cells.tenancy.others", "is missing")
+	}
+	if _, known := operatorpb.Own_name[int32(y.Own)]; !known {
+		return o.fault("cells.tenancy.own", "%d is none of the values", y.Own)
+	}
+	seen := map[string]bool{}
+	for i, r := range y.Rule {
+		at := fmt.Sprintf("cells.tenancy.rule[%d]", i)
+		key, given := "", 0
+		for _, k := range [][2]string{{"prefix", r.Prefix}, {"user", r.User}, {"database", r.Database}} {
+			if k[1] != "" {
+				key, given = k[0]+" "+k[1], given+1
+			}
+		}
+		switch {
+		case given != 1:
+			return o.fault(at, "%d of prefix, user and database are given, and it must be one", given)
+		case r.Tenant == "":
+			return o.fault(at+".tenant", "is missing")
+		case seen[key]:
+			return o.fault(at, "%s stands twice", key)
+		}
+		seen[key] = true
+	}
+	return nil
+}
+
+func (o *Orders) checkTenants() error {
+	names, seen := map[string]bool{}, map[string]bool{}
+	for _, c := range o.Cells.Cell {
+		names[c.Name] = true
+	}
+	for i, t := range o.Cells.Tenant {
+		at := fmt.Sprintf("cells.tenant[%d].", i)
+		switch {
+		case t.Name == "":
+			return o.fault(at+"name", "is missing")
+		case seen[t.Name]:
+			return o.fault(at+"name", "%q stands twice", t.Name)
+		case t.Cell != "" && !names[t.Cell]:
+			return o.fault(at+"cell", "there is no cell %q", t.Cell)
+		}
+		seen[t.Name] = true
+		if err := o.positive(at+"weight", t.Weight, leastWeight); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *Orders) checkBudget() error {
+	b, count := o.Cells.Budget, uint32(len(o.Cells.Cell))
+	switch {
+	case b == nil:
+	case b.Rpcs < count:
+		return o.fault("cells.budget.rpcs", "%d is less than one for each of %d cells", b.Rpcs, count)
+	case b.CallOuts < count:
+		return o.fault("cells.budget.call_outs", "%d is less than one for each of %d cells", b.CallOuts, count)
+	case !(b.Lend >= 0 && b.Lend <= 1):
+		return o.fault("cells.budget.lend", "%v is not from 0 to 1", b.Lend)
+	}
+	return nil
+}
+
+func (o *Orders) checkCoordination() error {
+	c := o.Cells.Coordination
+	if c == nil {
+		return nil
+	}
+	if err := o.loopback("cells.coordination.at", c.At); err != nil {
+		return err
+	}
+	for _, n := range []struct {
+		field       string
+		value       uint32
+		least, most uint32
+	}{{"lease_ms", c.LeaseMs, 200, 300_000}, {"hold_ms", c.HoldMs, 100, 60_000}, {"held", c.Held, 1, 100_000}} {
+		if n.value < n.least || n.value > n.most {
+			return o.fault("cells.coordination."+n.field, "%d is not from %d to %d", n.value, n.least, n.most)
+		}
+	}
+	switch {
+	case c.Here && c.Journal == "":
+		return o.fault("cells.coordination.journal", "is missing, and this instance is the coordinator")
+	case !c.Here && c.Journal != "":
+		return o.fault("cells.coordination.journal", "is given, and this instance is not the coordinator")
+	}
+	if c.FillHook == "" {
+		return nil
+	}
+	hook, err := url.Parse(c.FillHook)
+	if err != nil || hook.Scheme != "http" || hook.Host == "" {
+		return o.fault("cells.coordination.fill_hook", "%q is not an http address", c.FillHook)
+	}
+	if ip := net.ParseIP(hook.Hostname()); ip == nil || !ip.IsLoopback() {
+		return o.fault("cells.coordination.fill_hook", "%q is not on a loopback address", c.FillHook)
+	}
+	return nil
+}
+
+// Layout is the file's cells.
+func (o *Orders) Layout() *cells.Layout {
+	l := cells.NewLayout(int(o.Cells.GroupsATenant))
+	for _, c := range o.Cells.Cell {
+		groups := make(cells.Groups, len(c.Group))
+		for i, g := range c.Group {
+			groups[i] = rules.GroupID(g)
+		}
+		weight := 1.0
+		if c.Weight != nil {
+			weight = *c.Weight
+		}
+		l.Add(c.Name, groups, weight, c.Capacity, c.Hall)
+	}
+	return l
+}
+
+var owns = map[operatorpb.Own]cells.Own{operatorpb.Own_NOBODY: cells.OwnNobody, operatorpb.Own_USER: cells.OwnUser,
+	operatorpb.Own_DATABASE: cells.OwnDatabase}
+
+// Tenancy is the file's rules on whom an RPC belongs to.
+func (o *Orders) Tenancy() *cells.Tenancy {
+	prefixes, users, databases := map[string]cells.Tenant{}, map[string]cells.Tenant{}, map[string]cells.Tenant{}
+	for _, r := range o.Cells.Tenancy.Rule {
+		switch t := cells.Tenant(r.Tenant); {
+		case r.Prefix != "":
+			prefixes[r.Prefix] = t
+		case r.User != "":
+			users[r.User] = t
+		default:
+			databases[r.Database] = t
+		}
+	}
+	return cells.NewTenancy(prefixes, users, databases, owns[o.Cells.Tenancy.Own], cells.Tenant(o.Cells.Tenancy.Others))
+}
+
+// Pins are the cells that tenants are pinned to.
+func (o *Orders) Pins() map[cells.Tenant]string {
+	pins := map[cells.Tenant]string{}
+	for _, t := range o.Cells.Tenant {
+		if t.Cell != "" {
+			pins[cells.Tenant(t.Name)] = t.Cell
+		}
+	}
+	return pins
+}
+
+// Weights are the tenants' parts that are not 1.
+func (o *Orders) Weights() map[cells.Tenant]float64 {
+	weights := map[cells.Tenant]float64{}
+	for _, t := range o.Cells.Tenant {
+		if t.Weight != nil {
+			weights[cells.Tenant(t.Name)] = *t.Weight
+		}
+	}
+	return weights
+}
+
+// Limits are the limits that the file's budget makes, nil where it has none.
+func (o *Orders) Limits(l *cells.Layout) *cells.Limits {
+	b := o.Cells.Budget
+	if b == nil {
+		return nil
+	}
+	all := cells.Amounts{cells.RPCs: int64(b.Rpcs), cells.CallOuts: int64(b.CallOuts), cells.Answers: int64(b.AnswerKib) << 10}
+	return cells.NewLimits(all, b.Lend, l, o.Weights())
+}
+
+// Gate is what a driver confines tenants by.
+func (o *Orders) Gate() *cells.Gate {
+	l := o.Layout()
+	pins := map[cells.Tenant]cells.Cell{}
+	for t, name := range o.Pins() {
+		pins[t] = l.Find(name)
+	}
+	held := int(o.Cells.GetCoordination().GetHeld())
+	return cells.NewGate(l, o.Tenancy(), cells.NewBook(l, pins), o.Limits(l), o.Cells.Coordination != nil, held)
+}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -8,19 +8,20 @@
 	"sedgespread/internal/protocol"
 	"sedgespread/internal/routing"
 	"sedgespread/internal/transport"
+	"sedgespread/rules"
 )
 
 // session serves one client for as long as its connection lasts.
 func (p *Program) session(c protocol.Client) {
 	leave := p.lobby.enter(c, false)
 	c.WriteWithin(longestWrite)
-	end := c.Welcome()
+	from, end := c.Welcome()
 	for guest := false; end == transport.Open; {
 		var text string
 		if text, end = c.Query(); end == transport.Open {
 			leave()
 			var taken bool
-			taken, end = p.query(c, text)
+			taken, end = p.query(c, from, text)
 			guest = guest || taken
 			leave = p.lobby.enter(c, guest)
 		}
@@ -39,14 +40,14 @@
 )
 
 // query serves a client's query, and tells whether it stood for an RPC that was taken.
-func (p *Program) query(c protocol.Client, text string) (taken bool, end transport.End) {
+func (p *Program) query(c protocol.Client, from protocol.Origin, text string) (taken bool, end transport.End) {
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return false, p.emptyQuery(c)
 	}
 	var trip *routing.Trip
 	s, err := protocol.ParseStatement(text)
 	if err == nil {
-		trip, err = p.router.Admit(&s)
+		trip, err = p.router.Admit(call(&s, from))
 	}
 	if err != nil {
 		return false, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
@@ -54,6 +55,13 @@
 	return true, p.rpc(c, &s, trip)
 }
 
+// call is the RPC that a statement stands for.
+func call(s *protocol.Statement, from protocol.Origin) *routing.Call {
+	const milli = int64(time.Millisecond)
+	return &routing.Call{ID: s.ID, Method: s.Method, Key: s.Key, Write: s.Write, Repeat: s.Repeat, Group: rules.GroupID(s.Group),
+		Left: s.Left * milli, Token: s.After * milli, User: from.User, Base: from.Database}
+}
+
 // emptyQuery is answered once this driver is ready.
 func (p *Program) emptyQuery(c protocol.Client) transport.End {
 	select {
@@ -75,6 +83,7 @@
 				return nil
 			})
 		case routing.Serve:
+			defer trip.Passed()
 			return c.Pass(step.Answer)
 		case routing.PushBack:
 			return c.Refuse(protocol.PushBack(step.ComeBack / int64(time.Millisecond)))
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -18,49 +18,75 @@
 // Client is a client's connection, seen from the driver.
 type Client struct{ *transport.Conn }
 
+// Origin is who a client said that it is.
+type Origin struct{ User, Database string }
+
 // Welcome reads the startup message and answers it. Encryption is declined.
-func (c Client) Welcome() transport.End {
+func (c Client) Welcome() (Origin, transport.End) {
 	for {
-		code, end := c.startup()
+		code, rest, end := c.startup()
 		switch {
 		case end == transport.Malformed || end == transport.TooLong || end == transport.Stalled:
-			return c.reject(StateProtocol, "the startup message can't be followed", end)
+			return Origin{}, c.reject(StateProtocol, "the startup message can't be followed", end)
 		case end != transport.Open:
-			return end
+			return Origin{}, end
 		case code == tlsRequest || code == gssRequest:
 			c.Write("N")
 			if end := c.Flush(); end != transport.Open {
-				return end
+				return Origin{}, end
 			}
 		case code == cancelRequest: // there is nothing to cancel by
-			return transport.ClosedByPeer
+			return Origin{}, transport.ClosedByPeer
 		case code>>16 != versionThree>>16:
-			return c.reject(StateNotSupported, "only version 3 of the protocol is spoken here", transport.Malformed)
+			return Origin{}, c.reject(StateNotSupported, "only version 3 of the protocol is spoken here", transport.Malformed)
 		default:
-			return c.greet(code)
+			return originOf(rest), c.greet(code)
+		}
+	}
+}
+
+// originOf reads the names and values of a startup message as far as they can be followed. As in PostgreSQL the
+// database is the user's where none is named.
+func originOf(text string) (o Origin) {
+	for text != "" && text[0] != 0 {
+		name, rest, named := strings.Cut(text, "\x00")
+		value, next, whole := strings.Cut(rest, "\x00")
+		if !named || !whole {
+			break
 		}
+		switch text = next; name {
+		case "user":
+			o.User = value
+		case "database":
+			o.Database = value
+		}
+	}
+	if o.Database == "" {
+		o.Database = o.User
 	}
+	return o
 }
 
-// startup reads one message of those that have no kind.
-func (c Client) startup() (code uint32, end transport.End) {
+// startup reads one message of those that have no kind: its code and what follows that.
+func (c Client) startup() (code uint32, rest string, end transport.End) {
 	if end := c.Await(8); end != transport.Open {
-		return 0, end
+		return 0, "", end
 	}
 	var head [8]byte
 	c.Peek(head[:])
 	length := binary.BigEndian.Uint32(head[:])
 	if length < 8 {
-		return 0, transport.Malformed
+		return 0, "", transport.Malformed
 	}
 	if length > mostStartup {
-		return 0, transport.TooLong
+		return 0, "", transport.TooLong
 	}
 	if end := c.Await(int(length)); end != transport.Open {
-		return 0, end
+		return 0, "", end
 	}
-	c.Read(make([]byte, length))
-	return binary.BigEndian.Uint32(head[4:]), transport.Open
+	whole := make([]byte, length)
+	c.Read(whole)
+	return binary.BigEndian.Uint32(head[4:]), string(whole[8:]), transport.Open
 }
 
 // greet says that the session may begin.
--- a/internal/protocol/member.go
+++ b/internal/protocol/member.go
@@ -190,3 +190,11 @@
 
 // LoadQuery is the probe that brings a load report.
 const LoadQuery = "SHOW server_load"
+
+// Bytes is how long the answer's messages are.
+func (a *Answer) Bytes() (n int) {
+	for _, m := range a.messages {
+		n += len(m.whole)
+	}
+	return n
+}
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -66,7 +66,8 @@
 	} {
 		conn, s := feed(c.text)
 		client := Client{conn}
-		query, end := "", client.Welcome()
+		query := ""
+		_, end := client.Welcome()
 		if end == transport.Open {
 			query, end = client.Query()
 		}
@@ -196,7 +197,7 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		conn, _ := feed(text)
 		client := Client{conn}
-		for end := client.Welcome(); end == transport.Open; {
+		for _, end := client.Welcome(); end == transport.Open; {
 			_, end = client.Query()
 		}
 	})
--- /dev/null
+++ b/internal/routing/confine.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"sedgespread/internal/cells"
+	"sedgespread/rules"
+)
+
+// pass is what an RPC has of its tenant's cell.
+type pass struct {
+	ticket *cells.Ticket
+	risky  bool // a call-out of it may have run
+	held   bool // the answer has not been passed on yet
+}
+
+// Confine lets every RPC from here on pass a gate first. It is called before the first.
+func (r *Router) Confine(g *cells.Gate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate = g
+	r.sweep()
+}
+
+// sweepEvery is how often a gate forgets what is over.
+const sweepEvery = 100 * milli
+
+// sweep lets the gate forget what is over, again and again. The lock is held.
+func (r *Router) sweep() {
+	r.gate.Sweep(r.now())
+	r.timers.add(r.now()+sweepEvery, r.sweep)
+	r.stir()
+}
+
+// ask asks the gate about an RPC, and goes on with it as soon as that has decided. The lock is held.
+func (t *Trip) ask(rpc rules.RPC, c *Call) {
+	r, now := t.r, t.r.now()
+	m := &r.methods[rpc.Method]
+	a := cells.Ask{Tenant: r.gate.Tenant(c.Key, c.User, c.Base), Key: c.Key, Write: c.Write, Soft: m.SoftDeadline, Left: c.Left,
+		Utility: m.Utility}
+	t.pass = &pass{}
+	ticket, v, decided := r.gate.Admit(now, a, func(v cells.Verdict) {
+		rpc.Left = max(0, c.Left-(r.now()-now))
+		t.decided(rpc, v)
+	})
+	t.pass.ticket = ticket
+	if decided {
+		t.decided(rpc, v)
+		return
+	}
+	r.timers.add(ticket.HeldUntil(), func() { r.gate.Expire(ticket) })
+	r.stir()
+}
+
+// decided goes on with an RPC as its gate has decided. The lock is held.
+func (t *Trip) decided(rpc rules.RPC, v cells.Verdict) {
+	if v.Why != cells.WhyNot {
+		t.r.driver.Left(t.id)
+		t.finish(Step{Act: PushBack, ComeBack: min(v.ComeBack, t.r.allowed.ComeBack)})
+		return
+	}
+	rpc.Group, rpc.Floor = v.Group, v.Floor
+	t.take(rpc)
+}
+
+// callsOut tells the gate of a call-out, and whether it may be made. Where it may not, the RPC ends here: the driver
+// does not know where its tenant is now. The lock is held.
+func (t *Trip) callsOut(next func(rules.Result)) bool {
+	r := t.r
+	if r.gate.May(t.pass.ticket, r.now()) {
+		r.gate.CallOut(t.pass.ticket, r.now())
+		return true
+	}
+	n := len(t.calls)
+	t.calls = append(t.calls, call{})
+	t.out++
+	t.forsake()
+	r.timers.add(r.now(), func() {
+		t.calls[n].next = nil
+		t.out--
+		next(rules.Result{Proof: rules.NeverRan, Cause: rules.Cancelled, Final: true})
+		t.drop()
+	})
+	r.stir()
+	return false
+}
+
+// forsake ends an RPC that nothing more may be done for: it is pushed back where trying again is harmless, and else
+// aborted. The lock is held.
+func (t *Trip) forsake() {
+	s := Step{Act: PushBack}
+	if t.out > 0 || t.pass.risky {
+		s.Act = Abort
+	}
+	if !t.pass.ticket.Write {
+		s.Act = PushBack
+	}
+	t.finish(s)
+}
+
+// returned tells the gate how a call-out ended. An answer that comes when the lease has run out, or its tenant has been
+// moved, is not passed on: others may have gone on without it. The lock is held.
+func (t *Trip) returned(c *call, v verdict, o Outcome) {
+	r, until, bytes := t.r, int64(0), 0
+	if v.proof == rules.MayHaveRun {
+		until, t.pass.risky = c.until+graceOver, true
+	}
+	if o.Answer != nil {
+		bytes = o.Answer.Bytes()
+		r.gate.Committed(t.pass.ticket, o.Answer.Position*milli)
+	}
+	r.gate.Returned(t.pass.ticket, until, bytes, r.now())
+	if v.proof == rules.OK && !t.ended && !r.gate.May(t.pass.ticket, r.now()) {
+		t.pass.risky = true
+		t.forsake()
+	}
+}
+
+// graceOver is how long after its time a member may still finish what it was sent.
+const graceOver = 50 * milli
+
+// answered tells the gate that an RPC has its final answer. The lock is held.
+func (t *Trip) answered(act Act) {
+	t.pass.held = act == Serve
+	t.r.gate.Ended(t.pass.ticket, act == Serve, t.r.now())
+}
+
+// settle tells the gate when nothing is left of an RPC. The lock is held.
+func (t *Trip) settle() {
+	if t.ended && t.out == 0 && !t.pass.held {
+		t.r.gate.Settle(t.pass.ticket, t.r.now())
+	}
+}
+
+// Passed says that the answer has been passed on to the client, or can't be.
+func (t *Trip) Passed() {
+	if t.pass == nil {
+		return
+	}
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	t.pass.held = false
+	t.settle()
+}
+
+// ReportGrant reports what the coordinator granted to what Report told at a time.
+func (r *Router) ReportGrant(asked int64, grant cells.Grant) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed, err := r.gate.Granted(asked, grant)
+	for _, t := range changed {
+		e, _ := r.gate.Book().Entry(t)
+		r.log.WithField("tenant", t).WithField("stage", e.Stage).WithField("cell", e.Cell).WithField("to", e.To).
+			WithField("epoch", e.Epoch).Info("tenant moves")
+		r.gate.Release(t, r.now())
+	}
+	return err
+}
+
+// Report is what the coordinator is told, and when that was.
+func (r *Router) Report(name string, incarnation uint64) (cells.Report, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	return r.gate.Report(now, name, incarnation, r.driver.Reached), now
+}
+
+// Cells gives what a function makes of the gate, which must not be kept.
+func Cells[T any](r *Router, of func(now int64, g *cells.Gate) T) T {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return of(r.now(), r.gate)
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sedgespread/internal/briefing"
+	"sedgespread/internal/cells"
 	"sedgespread/internal/protocol"
 	"sedgespread/rules"
 )
@@ -34,6 +35,7 @@
 	begun    time.Time
 	stirred  chan struct{} // a timer or a duty has been added
 	log      logrus.FieldLogger
+	gate     *cells.Gate // nil where tenants have no cells
 }
 
 // New reads what the module is told at its start. The list is the one last known.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -97,31 +97,33 @@
 func take(r *Router, rpc rules.RPC) *Trip {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.take(rpc, "")
+	trip := r.open("")
+	trip.take(rpc)
+	return trip
 }
 
 // Guards against clients that pass for others, by an id that is open or was a moment ago, and against RPCs that no
 // member would take; an id must be free again in the end.
 func TestAdmits(t *testing.T) {
 	r := begin(t, "a")
-	s := protocol.Statement{ID: "7", Method: "read", Left: 4000, Group: 9}
-	admit := func(change func(s *protocol.Statement)) error {
+	s := Call{ID: "7", Method: "read", Left: 4000 * milli, Group: 9}
+	admit := func(change func(s *Call)) error {
 		other := s
 		change(&other)
 		_, err := r.Admit(&other)
 		return err
 	}
-	require.Equal(t, errMethod, admit(func(s *protocol.Statement) { s.Method = "reads" }))
-	require.Equal(t, errKind, admit(func(s *protocol.Statement) { s.Write = true }))
-	require.Equal(t, errKind, admit(func(s *protocol.Statement) { s.Method = "write" }))
-	require.Equal(t, errLeft, admit(func(s *protocol.Statement) { s.Left = 4001 }))
+	require.Equal(t, errMethod, admit(func(s *Call) { s.Method = "reads" }))
+	require.Equal(t, errKind, admit(func(s *Call) { s.Write = true }))
+	require.Equal(t, errKind, admit(func(s *Call) { s.Method = "write" }))
+	require.Equal(t, errLeft, admit(func(s *Call) { s.Left = 4000*milli + 1 }))
 	trip, err := r.Admit(&s)
 	require.NoError(t, err)
 	require.Equal(t, PushBack, trip.Pick().Act)
 	for id := range r.ids.held {
 		require.NotSame(t, unsafe.StringData(s.ID), unsafe.StringData(id), "an id must not hold its whole statement in memory")
 	}
-	require.Equal(t, errID, admit(func(s *protocol.Statement) {}))
+	require.Equal(t, errID, admit(func(s *Call) {}))
 	require.True(t, r.ids.open("8", time.Now().Add(idKept)))
 	require.Equal(t, map[string]bool{"8": true}, r.ids.held)
 	for range 2 * mostIDs {
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -33,6 +33,20 @@
 	Answer   *protocol.Answer
 }
 
+// Call is an RPC as a front hands it over, whatever its clients speak. Times and positions are nanoseconds.
+type Call struct {
+	ID     string // its client's, different for each try
+	Method string
+	Key    string // names the session where the method has any
+	Write  bool
+	Repeat bool          // the client has tried before
+	Group  rules.GroupID // that its client named; where tenants have cells the cell decides
+	Left   int64         // its client waits so long
+	Token  int64         // position that the read must see, 0 for none
+	User   string        // as whom its client came, and for which database
+	Base   string
+}
+
 // Trip is an RPC on its way. It is over once Pick gave a step other than a call-out; results of call-outs that are
 // still out then are reported all the same.
 type Trip struct {
@@ -43,11 +57,13 @@
 	calls []call
 	out   int
 	ended bool
+	pass  *pass // nil where tenants have no cells
 }
 
 // call is a call-out.
 type call struct {
 	sent   int64
+	until  int64 // it is not waited for any longer
 	cancel func()
 	next   func(rules.Result) // nil once its result is in
 }
@@ -59,43 +75,52 @@
 	errID     = errors.New("the id is that of another")
 )
 
-// Admit checks a client's statement against what is known here, and takes the RPC that it stands for.
-func (r *Router) Admit(s *protocol.Statement) (*Trip, error) {
-	number, known := r.numbers[s.Method]
+// Admit checks an RPC against what is known here, and takes it.
+func (r *Router) Admit(c *Call) (*Trip, error) {
+	number, known := r.numbers[c.Method]
 	if !known {
 		return nil, errMethod
 	}
 	method := &r.methods[number]
-	rpc := rules.RPC{Method: number, Group: rules.GroupID(s.Group), Session: s.Key, Left: s.Left * milli,
-		Repeat: s.Repeat, Token: s.After * milli}
+	rpc := rules.RPC{Method: number, Group: c.Group, Session: c.Key, Left: c.Left, Repeat: c.Repeat, Token: c.Token}
 	switch {
-	case s.Write != (method.Need == rules.NeedPrimary):
+	case c.Write != (method.Need == rules.NeedPrimary):
 		return nil, errKind
 	case method.Deadline > 0 && rpc.Left > 2*method.Deadline: // some may start to count before the driver does
 		return nil, errLeft
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := strings.Clone(s.ID) // which outlives the statement
+	id := strings.Clone(c.ID) // which outlives what it came in
 	if !r.ids.open(id, time.Now()) {
 		return nil, errID
 	}
-	return r.take(rpc, id), nil
+	t := r.open(id)
+	if r.gate == nil {
+		t.take(rpc)
+	} else {
+		t.ask(rpc, c)
+	}
+	return t, nil
 }
 
-// take accepts an RPC, whose ID is set here. The lock is held.
-func (r *Router) take(rpc rules.RPC, name string) *Trip {
+// open makes the trip of an RPC. The lock is held.
+func (r *Router) open(name string) *Trip {
 	r.last++
 	for r.trips[r.last] != nil {
 		r.last++
 	}
-	rpc.ID = r.last
-	t := &Trip{r: r, id: rpc.ID, name: name, steps: make(chan Step, r.allowed.CallOuts+1)}
+	t := &Trip{r: r, id: r.last, name: name, steps: make(chan Step, r.allowed.CallOuts+1)}
 	r.trips[t.id] = t
-	r.driver.Take(rpc)
 	return t
 }
 
+// take hands an RPC to the module. The lock is held.
+func (t *Trip) take(rpc rules.RPC) {
+	rpc.ID = t.id
+	t.r.driver.Take(rpc)
+}
+
 // Pick waits for the next step.
 func (t *Trip) Pick() Step { return <-t.steps }
 
@@ -105,6 +130,9 @@
 	defer t.r.mu.Unlock()
 	if !t.ended {
 		t.r.driver.Left(t.id)
+		if t.pass != nil {
+			t.r.gate.Leave(t.pass.ticket)
+		}
 		t.finish(Step{Act: Drop})
 	}
 }
@@ -122,6 +150,9 @@
 	c.next = nil
 	t.out--
 	v := o.verdict()
+	if t.pass != nil {
+		t.returned(c, v, o)
+	}
 	if v.proof == rules.OK && !t.ended {
 		t.finish(Step{Act: Serve, Answer: o.Answer})
 	} else if o.unusable() && !t.ended {
@@ -136,10 +167,13 @@
 // callOut hands out a call-out. The lock is held.
 func (t *Trip) callOut(r *Router, to rules.MemberID, within int64, next func(rules.Result)) int {
 	n := len(t.calls)
+	if t.pass != nil && !t.callsOut(next) {
+		return n
+	}
 	span := time.Duration(max(within, 0))
 	by, stop := context.WithTimeout(context.Background(), span)
 	by, cancel := context.WithCancelCause(by)
-	t.calls = append(t.calls, call{sent: r.now(), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
+	t.calls = append(t.calls, call{sent: r.now(), until: r.now() + int64(span), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
 	t.out++
 	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.address(to), By: by}
 	return n
@@ -149,6 +183,9 @@
 func (t *Trip) finish(s Step) {
 	if !t.ended {
 		t.ended = true
+		if t.pass != nil {
+			t.answered(s.Act)
+		}
 		t.steps <- s
 		t.drop()
 	}
@@ -159,5 +196,8 @@
 	if t.ended && t.out == 0 && t.r.trips[t.id] == t {
 		delete(t.r.trips, t.id)
 		t.r.ids.end(t.name, time.Now())
+		if t.pass != nil {
+			t.settle()
+		}
 	}
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -101,6 +101,7 @@
 	Left    int64
 	Repeat  bool  // the client has tried before
 	Token   int64 // commit that a session read must see, 0 for none
+	Floor   int64 // position that any member must have reached to get it, 0 for none
 }
 
 // State is a member's standing in the list.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -288,6 +288,9 @@
 
 // fresh tells whether a replica's data will do for an RPC.
 func (d *Driver) fresh(m member, c *call) bool {
+	if d.pos[m] < c.Floor {
+		return false
+	}
 	switch c.method.Need {
 	case NeedAny:
 		return true
@@ -324,7 +327,7 @@
 	if c.isRead() {
 		share, again = readShare, !slices.Contains(c.tried, p)
 	}
-	primary := p != nobody && again && d.atEase(p, c) && d.fits(p, c, share)
+	primary := p != nobody && again && d.pos[p] >= c.Floor && d.atEase(p, c) && d.fits(p, c, share)
 	for primary || len(passers) > 0 {
 		m := d.windowed(passers, c.looked)
 		if m == nobody || primary && d.cost(p)*jammed < d.cost(m) {
@@ -486,7 +489,8 @@
 				d.callOut(c, m)
 				continue
 			}
-			stuck[c.Method] = c.method.Need != NeedSession && len(c.tried) == 0 && c.risk == 0 && c.looks == looks
+			alike := c.method.Need != NeedSession && c.Floor == 0 && len(c.tried) == 0 && c.risk == 0
+			stuck[c.Method] = alike && c.looks == looks
 		}
 		g.held = append(g.held, c)
 	}
@@ -645,7 +649,8 @@
 	}
 }
 
-// ample is how long an answer may take without losing much: past the soft deadline by what late ones are worth.
+// ample is how long an answer may take without losing much: past the soft deadline by what late ones are
+// worth.
 func (m *Method) ample() int64 {
 	return m.SoftDeadline + int64(m.LateUtility*float64(max(0, m.Deadline-m.SoftDeadline)))
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -152,6 +152,21 @@
 	return count
 }
 
+// Reached tells whether all of a group's members that answer and are to serve, its primary among them, were seen at a
+// position or past it.
+func (d *Driver) Reached(id GroupID, position int64) bool {
+	g := d.groups[id]
+	if g == nil || g.primary == nobody || d.silent[g.primary] || d.pos[g.primary] < position {
+		return false
+	}
+	for _, m := range g.members {
+		if d.state[m] == Healthy && !d.silent[m] && d.pos[m] < position {
+			return false
+		}
+	}
+	return true
+}
+
 // drop gives a member's place back. Nothing may be out for it.
 func (d *Driver) drop(m member) {
 	g := d.of[m]
