--- /dev/null
+++ b/cmd/sedgespread/emulate.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+	"time"
+
+	"sedgespread/internal/emulator/trials"
+)
+
+type emulate struct {
+	Flood emulateFlood `cmd:"" help:"Flood one cell and see how the others fare, with cells and without."`
+}
+
+// interrupted ends with SIGINT or SIGTERM.
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+// place says on what a figure was made.
+func place() string { return fmt.Sprintf("emulated fleet on loopback, %d cores", runtime.NumCPU()) }
+
+type emulateFlood struct {
+	Seed    uint64        `default:"1" help:"Of all that is drawn."`
+	Span    time.Duration `default:"5s" help:"How long each of the four nights lasts."`
+	Cells   int           `default:"4" help:"Cells, each a group of three members."`
+	Drivers int           `default:"3"`
+	Factor  float64       `default:"10" help:"The flood, in times of what the flooded cell can bear."`
+	Usual   float64       `default:"0.35" help:"The load of all others, as a part of what the fleet can bear."`
+	Tenants int           `default:"40" help:"Tenants beside the bots."`
+}
+
+// Run plays a flood and prints what came of it.
+func (f emulateFlood) Run() error {
+	ctx, stop := interrupted()
+	defer stop()
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	trial := trials.Flood{Program: program, Seed: f.Seed, Span: f.Span, Cells: f.Cells, Drivers: f.Drivers, Factor: f.Factor,
+		Usual: f.Usual, Tenants: f.Tenants}
+	r, err := trial.Run(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s\nseed %d, %v a night, %d cells of 3 members, %d drivers, bots at %g times what their cell can bear, %d other\n"+
+		"tenants at %g of what the fleet can bear. Service is the part of the utility that was had in the soft deadline or late.\n\n%s\n",
+		place(), f.Seed, f.Span, f.Cells, f.Drivers, f.Factor, f.Tenants, f.Usual, r.Table)
+	fmt.Printf("Of the service without a flood, other cells' tenants kept %.3f with cells and %.3f without; the flooded cell's other\n"+
+		"tenants kept %.3f.\n", r.Kept, r.KeptOff, r.Within)
+	return nil
+}
--- a/cmd/sedgespread/main.go
+++ b/cmd/sedgespread/main.go
@@ -1,36 +1,49 @@
-// Command sedgespread is the driver on real sockets.
+// Command sedgespread is the driver on real sockets, and its operator's commands.
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
-
-	"sedgespread/internal/program"
 )
 
+// commands are those of the command line. Without any, the driver serves.
+type commands struct {
+	LogFormat string `enum:"text,json" default:"text" env:"SEDGESPREAD_LOG_FORMAT" help:"How log lines look: text or json."`
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" env:"SEDGESPREAD_LOG_LEVEL" help:"The least level that is logged: debug, info, warn or error."`
+
+	Serve   serve       `cmd:"" default:"withargs" help:"Run the driver (the default). GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_CONFIG tell it where."`
+	Check   check       `cmd:"" help:"Check an operator's file and say what is wrong with it, with line and field."`
+	Cells   cellsOf     `cmd:"" help:"See and change which cells tenants are in, at a running instance."`
+	Emulate emulate     `cmd:"" help:"Try things out on an emulated fleet on this machine. Needs nothing else."`
+	Version versionOnly `cmd:"" help:"Print the version."`
+}
+
+const about = "A routing service for reads and writes in a replicated store.\n\n" +
+	"New here? `sedgespread emulate demo` starts a small emulated fleet with a driver before it."
+
 func main() {
-	if err := run(); err != nil {
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("sedgespread"), kong.Description(about), kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}))
+	if err := parsed.Run(c.log()); err != nil {
 		fmt.Fprintln(os.Stderr, "sedgespread:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	reload := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
-	signal.Notify(reload, syscall.SIGHUP)
-	posting, err := program.ReadPosting(os.Getenv)
-	if err != nil {
-		return err
-	}
-	posting.Limit()
+// log is the log that the command line asks for. The level is one of those that the command line knows.
+func (c *commands) log() *logrus.Logger {
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableColors: true})
-	return program.Run(ctx, posting, reload, log.WithField("driver", posting.Name))
+	if c.LogFormat == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	level, err := logrus.ParseLevel(c.LogLevel)
+	if err == nil {
+		log.SetLevel(level)
+	}
+	return log
 }
--- /dev/null
+++ b/internal/admin/plan.go
@@ -0,0 +1,78 @@
+package admin
+
+import (
+	"fmt"
+
+	"sedgespread/internal/cells"
+	"sedgespread/internal/membership"
+	"sedgespread/internal/planner"
+)
+
+// explainedMost is how many tenants of a plan are explained, the heaviest first.
+const explainedMost = 50
+
+// Explained makes a plan and says why tenants are where they are in it.
+func Explained(tenants []planner.Tenant, rooms []planner.Cell, most int) Plan {
+	p := planner.Make(tenants, rooms, most)
+	now := make([]int, len(tenants))
+	for i, t := range tenants {
+		now[i] = t.At
+	}
+	before := planner.Measure(tenants, rooms, now)
+	plan := Plan{Worst: p.Worst, Mean: p.Mean, Bound: p.Bound, Before: before.Worst, Exact: p.Exact}
+	for i, r := range rooms {
+		plan.Cells = append(plan.Cells, CellPlan{Name: r.Name, Before: before.Loads[i], After: p.Loads[i]})
+	}
+	name := func(c int) string {
+		if c == planner.Nowhere {
+			return ""
+		}
+		return rooms[c].Name
+	}
+	for _, t := range p.Moves {
+		why := fmt.Sprintf("plan: %s at %.2f of its capacity, worst cell %.2f to %.2f", name(tenants[t].At),
+			before.Loads[tenants[t].At], before.Worst, p.Worst)
+		plan.Moves = append(plan.Moves, membership.Move{Tenant: cells.Tenant(tenants[t].Name), To: name(p.Place[t]), Why: why})
+	}
+	for i, t := range tenants {
+		if len(plan.Tenants) < explainedMost {
+			plan.Tenants = append(plan.Tenants, explain(t, p.Place[i], &p, rooms, name))
+		}
+	}
+	return plan
+}
+
+// explain says why a tenant is where it is in a plan, and what the worst load would be were it elsewhere.
+func explain(t planner.Tenant, at int, p *planner.Plan, rooms []planner.Cell, name func(int) string) TenantPlan {
+	e := TenantPlan{Tenant: cells.Tenant(t.Name), Load: t.Load, From: name(t.At), To: name(at), Else: map[string]float64{}}
+	switch {
+	case t.Stay:
+		e.Why = "it is pinned, or being moved"
+	case at == t.At:
+		e.Why = "it can stay: moving it would not lower the worst load"
+	case at == planner.Nowhere:
+		e.Why = "no cell stands in its hall"
+	default:
+		e.Why = "its cell is relieved by it"
+	}
+	if t.Stay || at == planner.Nowhere {
+		return e
+	}
+	for c := range rooms {
+		if c == at || t.Hall != "" && t.Hall != rooms[c].Hall {
+			continue
+		}
+		worst := 0.0
+		for o, load := range p.Loads {
+			switch o {
+			case at:
+				load -= t.Load / rooms[o].Able
+			case c:
+				load += t.Load / rooms[o].Able
+			}
+			worst = max(worst, load)
+		}
+		e.Else[name(c)] = worst
+	}
+	return e
+}
--- a/internal/cells/book.go
+++ b/internal/cells/book.go
@@ -108,6 +108,9 @@
 	return e, known
 }
 
+// Layout is the cells that there are.
+func (b *Book) Layout() *Layout { return b.layout }
+
 // Newest is the newest epoch that the book knows.
 func (b *Book) Newest() Epoch { return b.newest }
 
@@ -170,16 +173,31 @@
 	return seats
 }
 
-// Repin takes over the pins of a file read again. A tenant whose pin says otherwise than where it is now would be
-// elsewhere without having been moved.
-func (b *Book) Repin(pins map[Tenant]Cell) error {
-	if err := b.repinnable(pins); err != nil {
+// Become takes over the cells and the pins of a file read again: all of it, or an error and nothing. A tenant that has not
+// been moved must stay where it is.
+func (b *Book) Become(l *Layout, pins map[Tenant]string) error {
+	if err := b.repinnable(b.places(l, pins)); err != nil {
+		return err
+	}
+	if err := b.layout.Become(l, b.Seats()); err != nil {
 		return err
 	}
-	b.pins = pins
+	b.pins = b.places(b.layout, pins)
 	return nil
 }
 
+// places are the pins with the places of their cells here; one in a cell that is new here has the place that it will get.
+func (b *Book) places(l *Layout, pins map[Tenant]string) map[Tenant]Cell {
+	placed := make(map[Tenant]Cell, len(pins))
+	for t, name := range pins {
+		if placed[t] = b.layout.Find(name); placed[t] == NoCell {
+			placed[t] = Cell(b.layout.Cells()) + l.Find(name)
+		}
+	}
+	return placed
+}
+
+// repinnable tells whether other pins leave every tenant where it is.
 func (b *Book) repinnable(pins map[Tenant]Cell) error {
 	var both []Tenant
 	for t := range pins {
@@ -198,8 +216,14 @@
 			next = b.layout.Home(t)
 		}
 		if now := b.Seat(t).Cell; now != next {
-			return fmt.Errorf("tenant %q is in cell %q and would be in %q without a move", t, b.layout.Name(now), b.layout.Name(next))
+			return fmt.Errorf("tenant %q is in cell %q, and a file can't bring it into another: move it", t, b.layout.Name(now))
 		}
 	}
 	return nil
 }
+
+// Pinned tells whether the file pins a tenant.
+func (b *Book) Pinned(t Tenant) bool {
+	_, pinned := b.pins[t]
+	return pinned
+}
--- a/internal/cells/coordinator.go
+++ b/internal/cells/coordinator.go
@@ -1,9 +1,6 @@
 package cells
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Record is what a coordinator writes down: an entry, or the name of a driver that it gives leases to.
 type Record struct {
@@ -17,16 +14,19 @@
 type Coordinator struct {
 	book   *Book
 	leases leases
-	hold   int64 // a move may hold writes so long
+	hold   int64            // a move may hold writes so long
+	fills  bool             // the store has to be asked to fill a new cell
+	filled map[Tenant]Epoch // the entries of which it has taken what they ask
 }
 
 // mostMoves is how many moves may be under way at once: each is a part of every report.
 const mostMoves = 256
 
 // NewCoordinator starts at a time, over the records of the time before. A driver that they name may hold a lease given
-// just before that time.
-func NewCoordinator(now int64, b *Book, lease, hold int64, records []Record) (*Coordinator, error) {
-	c := &Coordinator{book: b, leases: leases{lease: lease, drivers: map[string]*holder{}}, hold: hold}
+// just before that time. Where fills is set, moves wait for Filled.
+func NewCoordinator(now int64, b *Book, lease, hold int64, fills bool, records []Record) (*Coordinator, error) {
+	c := &Coordinator{book: b, leases: leases{lease: lease, drivers: map[string]*holder{}}, hold: hold, fills: fills,
+		filled: map[Tenant]Epoch{}}
 	for _, r := range records {
 		if err := c.Apply(r); err != nil {
 			return nil, err
@@ -50,6 +50,9 @@
 		return fmt.Errorf("tenant %q, epoch %d: %v does not follow %v at epoch %d", r.Entry.Tenant, r.Entry.Epoch,
 			r.Entry.Stage, c.book.entries[r.Entry.Tenant].Stage, c.book.newest)
 	}
+	if r.Entry.Stage == Resting {
+		delete(c.filled, r.Entry.Tenant)
+	}
 	_, err := c.book.Apply(*r.Entry)
 	return err
 }
@@ -57,8 +60,8 @@
 // Book is where tenants are.
 func (c *Coordinator) Book() *Book { return c.book }
 
-// Renew takes in a driver's report and proposes what must be written down before Grant may answer it.
-func (c *Coordinator) Renew(now int64, r Report) ([]Record, error) {
+// Renew proposes what must be written down before Grant may answer a driver's report.
+func (c *Coordinator) Renew(r Report) ([]Record, error) {
 	if r.Driver == "" {
 		return nil, fmt.Errorf("a driver needs a name")
 	}
@@ -76,6 +79,14 @@
 	return Grant{Lease: c.leases.lease, Newest: c.book.newest, Entries: c.book.Since(r.Epoch)}
 }
 
+// Newer is what Grant would say now, for an answer that waited: the report of its start was taken then.
+func (c *Coordinator) Newer(r Report) Grant {
+	return Grant{Lease: c.leases.lease, Newest: c.book.newest, Entries: c.book.Since(r.Epoch)}
+}
+
+// Filled notes that the store has taken what the entry of an epoch asks of it.
+func (c *Coordinator) Filled(t Tenant, e Epoch) { c.filled[t] = e }
+
 // Move proposes to move a tenant.
 func (c *Coordinator) Move(now int64, t Tenant, to string, why string) ([]Record, error) {
 	seat, held := c.book.Seat(t), c.book.entries[t]
@@ -134,7 +145,7 @@
 	switch e.Stage {
 	case Prepared:
 		next.Stage, next.Begun = Holding, now
-		return next, c.leases.all(now, e, acts)
+		return next, c.fillsAs(e) && c.leases.all(now, e, acts)
 	case Holding, Catching, Closing:
 		if now-e.Begun > c.hold {
 			next.Stage, next.Why = Returning, fmt.Sprintf("writes were held for over %d ms, at %v", c.hold/1_000_000, e.Stage)
@@ -153,13 +164,16 @@
 		return next, c.leases.all(now, e, func(m MoveReport) bool { return m.Open == 0 })
 	case Switched, Returning:
 		next.Stage, next.To, next.Begun, next.Cut = Resting, "", 0, 0
-		return next, c.leases.all(now, e, acts)
+		return next, c.fillsAs(e) && c.leases.all(now, e, acts)
 	}
 	return next, false
 }
 
 func acts(MoveReport) bool { return true }
 
+// fillsAs tells whether the store has taken what an entry asks of it: to begin filling the new cell, or to end that.
+func (c *Coordinator) fillsAs(e Entry) bool { return !c.fills || c.filled[e.Tenant] == e.Epoch }
+
 // cut is the position that the new cell has to reach: past every write that was answered. Those of drivers that told are
 // known; one whose lease ran out answered none after that, which is before now.
 func (c *Coordinator) cut(now int64, e Entry) int64 {
@@ -186,7 +200,5 @@
 	return drivers
 }
 
-// Wants names the cells that have to be filled with a tenant's data just now: those of moves that may still switch.
-func (c *Coordinator) Wants() (moving []Entry) {
-	return slices.DeleteFunc(c.book.Moving(), func(e Entry) bool { return e.Stage == Returning })
-}
+// Loads are the heaviest tenants that drivers tell of, in RPCs a second over all of them.
+func (c *Coordinator) Loads(now int64) []Weighed { return c.leases.loads(now) }
--- a/internal/cells/gate.go
+++ b/internal/cells/gate.go
@@ -60,6 +60,7 @@
 	holding int
 	tenants map[Tenant]*present
 	turned  [whys]int64
+	weighed int64 // when loads were last reported
 	lapsed  int64 // answers that were not passed on because the lease had run out, or the tenant had moved
 	stale   int64
 }
@@ -68,8 +69,8 @@
 const heldShare = 0.45
 
 // NewGate makes a driver's gate, which may hold so many RPCs. Where leased is false the file alone says where tenants are.
-func NewGate(l *Layout, y *Tenancy, b *Book, limits *Limits, leased bool, most int) *Gate {
-	g := &Gate{layout: l, tenancy: y, book: b, limits: limits, most: most, tenants: map[Tenant]*present{}}
+func NewGate(b *Book, y *Tenancy, limits *Limits, leased bool, most int) *Gate {
+	g := &Gate{layout: b.layout, tenancy: y, book: b, limits: limits, most: most, tenants: map[Tenant]*present{}}
 	if !leased {
 		g.lease = math.MaxInt64
 	}
@@ -333,10 +334,18 @@
 	g.tidy(t, p)
 }
 
+const (
+	weighEvery = second // loads are reported so far apart
+	weighMost  = 512    // of so many tenants
+)
+
 // Report is what this driver tells of the moves that it knows to be under way. Reached tells whether the members of a
 // group have been seen at a position.
 func (g *Gate) Report(now int64, name string, incarnation uint64, reached func(rules.GroupID, int64) bool) Report {
 	r := Report{Driver: name, Incarnation: incarnation, Epoch: g.book.Newest()}
+	if g.limits != nil && now-g.weighed >= weighEvery {
+		g.weighed, r.Loads = now, g.limits.rates(now, weighMost)
+	}
 	for _, e := range g.book.Moving() {
 		m := MoveReport{Tenant: e.Tenant, Epoch: e.Epoch}
 		if p := g.tenants[e.Tenant]; p != nil {
@@ -419,7 +428,7 @@
 		f.Cells = append(f.Cells, figures)
 	}
 	if g.limits != nil {
-		f.Heavy = g.limits.heavy.Top(heaviest)
+		f.Heavy = g.limits.rates(now, heaviest)
 	}
 	return f
 }
@@ -432,27 +441,12 @@
 
 // Become takes over a file read again: all of it, or an error and nothing.
 func (g *Gate) Become(l *Layout, y *Tenancy, pins map[Tenant]string, weights map[Tenant]float64) error {
-	if err := g.book.repinnable(g.places(l, pins)); err != nil {
-		return err
-	}
-	if err := g.layout.Become(l, g.book.Seats()); err != nil {
+	if err := g.book.Become(l, pins); err != nil {
 		return err
 	}
-	g.book.pins = g.places(g.layout, pins)
 	g.tenancy = y
 	if g.limits != nil {
 		g.limits.Divide(g.layout, weights)
 	}
 	return nil
 }
-
-// places are the pins with the places of their cells here; one in a cell that is new here has the place that it will get.
-func (g *Gate) places(l *Layout, pins map[Tenant]string) map[Tenant]Cell {
-	placed := make(map[Tenant]Cell, len(pins))
-	for t, name := range pins {
-		if placed[t] = g.layout.Find(name); placed[t] == NoCell {
-			placed[t] = Cell(g.layout.Cells()) + l.Find(name)
-		}
-	}
-	return placed
-}
--- a/internal/cells/heavy.go
+++ b/internal/cells/heavy.go
@@ -70,8 +70,17 @@
 
 // Weighed is a tenant with its load.
 type Weighed struct {
-	Tenant     Tenant
-	Load, Over float64
+	Tenant Tenant  `json:"tenant"`
+	Load   float64 `json:"load"`
+	Over   float64 `json:"over"` // of Load, what may be another's
+}
+
+// heaviest orders loads, the heaviest first.
+func heaviest(all []Weighed) []Weighed {
+	slices.SortFunc(all, func(a, b Weighed) int {
+		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Tenant, b.Tenant))
+	})
+	return all
 }
 
 // Top are the heaviest tenants, the heaviest first.
@@ -80,10 +89,7 @@
 	for i, p := range h.places {
 		all[i] = Weighed{p.tenant, p.load, p.over}
 	}
-	slices.SortFunc(all, func(a, b Weighed) int {
-		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Tenant, b.Tenant))
-	})
-	return all[:min(most, len(all))]
+	return heaviest(all)[:min(most, len(all))]
 }
 
 func (h *Heavy) swap(i, j int) {
--- a/internal/cells/leases.go
+++ b/internal/cells/leases.go
@@ -8,6 +8,7 @@
 	Incarnation uint64       `json:"incarnation"` // newer after each start
 	Epoch       Epoch        `json:"epoch"`       // the newest that it acts on
 	Moves       []MoveReport `json:"moves,omitempty"`
+	Loads       []Weighed    `json:"loads,omitempty"` // RPCs a second of its heaviest tenants, now and then
 }
 
 // MoveReport is a driver's part of a move under way, as far as it knows the stage of that epoch.
@@ -39,6 +40,7 @@
 	until       int64 // it may act until then at the latest
 	acts        Epoch // on all up to there
 	moves       map[Tenant]MoveReport
+	loads       []Weighed
 }
 
 // known gives a driver's record, which is made for one not known.
@@ -63,6 +65,9 @@
 	for _, m := range r.Moves {
 		h.moves[m.Tenant] = m
 	}
+	if len(r.Loads) > 0 {
+		h.loads = r.Loads
+	}
 	return true
 }
 
@@ -91,6 +96,24 @@
 	return false
 }
 
+// loads are the loads that drivers told of, summed over those that may act.
+func (l *leases) loads(now int64) []Weighed {
+	sums := map[Tenant]Weighed{}
+	for _, h := range l.drivers {
+		for _, w := range h.loads {
+			if h.until >= now {
+				sum := sums[w.Tenant]
+				sums[w.Tenant] = Weighed{w.Tenant, sum.Load + w.Load, sum.Over + w.Over}
+			}
+		}
+	}
+	all := make([]Weighed, 0, len(sums))
+	for _, w := range sums {
+		all = append(all, w)
+	}
+	return heaviest(all)
+}
+
 // holders are the names of the drivers known, in order.
 func (l *leases) holders() []string {
 	names := make([]string, 0, len(l.drivers))
--- a/internal/cells/limits.go
+++ b/internal/cells/limits.go
@@ -9,11 +9,12 @@
 	shares *shares
 	heavy  *Heavy
 	// by cell
-	pace   []float64 // RPCs that may be open and still be answered in time, as learned
-	took   []float64 // smoothed time of an RPC that was served
-	slowed []int64   // when its pace was last lessened
-	eager  []float64 // smoothed: RPCs that came for one that was let in
-	faded  int64
+	pace   []float64   // RPCs that may be open and still be answered in time, as learned
+	took   []float64   // smoothed time of an RPC that was served
+	slowed []int64     // when its pace was last lessened
+	eager  []float64   // smoothed: RPCs that came for one that was let in
+	faded  int64       // when the loads were last halved
+	span   float64     // seconds that the loads stand for
 	most   float64     // the highest utility seen
 	unsent [][]*Ticket // by cell, let in, the last last; those that do not wait any more among them
 }
@@ -233,11 +234,22 @@
 	return max(shortWait, int64(m.took[c]*m.eager[c]))
 }
 
+// fade halves the loads now and then.
 func (m *Limits) fade(now int64) {
-	if now-m.faded >= fadeEvery {
-		if m.faded != 0 {
-			m.heavy.Fade(0.5)
-		}
+	if m.faded == 0 {
 		m.faded = now
 	}
+	if passed := now - m.faded; passed >= fadeEvery {
+		m.heavy.Fade(0.5)
+		m.span, m.faded = (m.span+float64(passed)/float64(second))/2, now
+	}
+}
+
+// rates are the heaviest tenants in RPCs a second.
+func (m *Limits) rates(now int64, most int) []Weighed {
+	top, over := m.heavy.Top(most), max(1, m.span+float64(now-m.faded)/float64(second))
+	for i := range top {
+		top[i].Load, top[i].Over = top[i].Load/over, top[i].Over/over
+	}
+	return top
 }
--- /dev/null
+++ b/internal/emulator/fleet.go
@@ -0,0 +1,292 @@
+// Package emulator is a model of members, their logs and what they do to statements, and a checker of the rules over
+// what was seen. It does no I/O and reads no clock: whoever drives it says what time it is. Package sockets gives it a
+// face on loopback.
+//
+// A member has cores and a queue in front of them, and takes a drawn time for each statement. A primary appends writes
+// to its group's log when they are done; a replica shows the log as it was a lag ago, and answers as quickly. Positions
+// are Unix time. The store can fill a group with a tenant's data from other groups; until that has caught up the group's
+// members report what they have reached of it.
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+const (
+	milli  = int64(1_000_000)
+	second = 1000 * milli
+)
+
+// Shape is what a fleet is made of. Times are nanoseconds.
+type Shape struct {
+	Groups  int
+	Members int // of a group, its primary among them
+	Cores   int // of a member
+	Queue   int // statements that may wait for a core
+	Service int64
+	Spread  float64 // of the logarithm of the service time
+	Lag     int64   // of a replica, in the mean
+	Behind  int64   // that a group is behind what fills it
+	Seed    uint64
+}
+
+// Able is how many statements a second one member can do.
+func (s Shape) Able() float64 { return float64(s.Cores) / (float64(s.Service) / float64(second)) }
+
+// MemberID is a member's place in the fleet.
+type MemberID int
+
+// Fleet is all members with what they hold. Its methods are to be called one after another.
+type Fleet struct {
+	Shape
+	groups  []*group
+	members []*member
+	rng     *rand.Rand
+	service distuv.LogNormal
+	seen    *Sight
+}
+
+type group struct {
+	number  int64
+	primary MemberID
+	log     map[string][]version // by key, the oldest first
+	feeds   []*feed
+}
+
+// version is what a write left.
+type version struct {
+	position int64
+	value    string
+}
+
+// feed brings a tenant's writes of other groups into a group.
+type feed struct {
+	tenant string
+	from   []int64
+	begun  int64
+	until  int64 // 0 while it goes on
+}
+
+type member struct {
+	group  *group
+	free   []int64 // by core, when it will be
+	starts []int64 // of statements that wait, the first first
+	lag    int64   // of a replica
+	slowed int64   // everything takes so many times as long, 0 for 1
+	silent int64   // it says nothing until then
+	mute   bool    // it does what it is told and loses the answers
+}
+
+// NewFleet makes a fleet; groups are numbered from 1, and the first member of each is its primary.
+func NewFleet(s Shape, seen *Sight) *Fleet {
+	f := &Fleet{Shape: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), seen: seen}
+	f.service = distuv.LogNormal{Mu: 0, Sigma: s.Spread, Src: f.rng}
+	for g := range s.Groups {
+		at := &group{number: int64(g + 1), primary: MemberID(g * s.Members), log: map[string][]version{}}
+		f.groups = append(f.groups, at)
+		for range s.Members {
+			f.members = append(f.members, &member{group: at, free: make([]int64, s.Cores), lag: s.Lag/2 + f.rng.Int64N(s.Lag+1)})
+		}
+	}
+	return f
+}
+
+// Count is how many members there are.
+func (f *Fleet) Count() int { return len(f.members) }
+
+// Group is a member's group.
+func (f *Fleet) Group(m MemberID) int64 { return f.members[m].group.number }
+
+// Primary tells whether a member is its group's primary.
+func (f *Fleet) Primary(m MemberID) bool { return f.members[m].group.primary == m }
+
+// Statement is what a member is sent.
+type Statement struct {
+	ID, Key string
+	Write   bool
+	Within  int64 // its sender waits so long
+}
+
+// TenantOf is the tenant whose key it is: the part before the first slash.
+func TenantOf(key string) string {
+	tenant, _, _ := strings.Cut(key, "/")
+	return tenant
+}
+
+// Refusal is why a member does not do a statement.
+type Refusal int
+
+const (
+	Taken Refusal = iota
+	Full
+	ReadOnly
+)
+
+// Arrive takes a statement in, and tells when it will be done.
+func (f *Fleet) Arrive(now int64, m MemberID, s Statement) (done int64, r Refusal) {
+	at := f.members[m]
+	f.seen.arrive(s, m, now)
+	if s.Write && at.group.primary != m {
+		f.seen.refuse(s)
+		return 0, ReadOnly
+	}
+	at.starts = slices.DeleteFunc(at.starts, func(start int64) bool { return start <= now })
+	if len(at.starts) >= f.Queue {
+		f.seen.refuse(s)
+		return 0, Full
+	}
+	core := 0
+	for c, free := range at.free {
+		if free < at.free[core] {
+			core = c
+		}
+	}
+	start := max(now, at.free[core], at.silent)
+	took := int64(float64(f.Service) * f.service.Rand())
+	if at.slowed > 1 {
+		took *= at.slowed
+	}
+	at.free[core] = start + took
+	if start > now {
+		at.starts = append(at.starts, start)
+	}
+	return start + took, Taken
+}
+
+// Answer is what a member says of itself, and of a statement what came of it.
+type Answer struct {
+	Value    string
+	Primary  bool
+	Position int64 // of the member, or of the write
+	Lost     bool  // it does not come
+}
+
+// Do does a statement whose time has come.
+func (f *Fleet) Do(now int64, m MemberID, s Statement) Answer {
+	at := f.members[m]
+	a := Answer{Primary: at.group.primary == m, Lost: at.mute}
+	if !s.Write {
+		a.Position = f.position(now, m)
+		own := a.Position
+		if a.Primary {
+			own = math.MaxInt64
+		}
+		a.Value = f.value(at.group, s.Key, own, a.Position)
+		return a
+	}
+	position := stamp(now)
+	if versions := at.group.log[s.Key]; len(versions) > 0 {
+		position = max(position, versions[len(versions)-1].position+milli)
+	}
+	at.group.log[s.Key] = append(at.group.log[s.Key], version{position, s.ID})
+	f.seen.effect(s, at.group.number, position)
+	a.Value, a.Position = s.ID, position
+	return a
+}
+
+// Look is what a member tells of itself.
+func (f *Fleet) Look(now int64, m MemberID) Answer {
+	return Answer{Primary: f.Primary(m), Position: f.position(now, m)}
+}
+
+// stamp is the position of a moment: positions are told in whole milliseconds.
+func stamp(now int64) int64 { return (now + milli - 1) / milli * milli }
+
+// position is how far a member has come: behind by its lag, and by what fills its group.
+func (f *Fleet) position(now int64, m MemberID) int64 {
+	at, p := f.members[m], stamp(now)
+	if at.group.primary != m {
+		p -= at.lag
+	}
+	for _, d := range at.group.feeds {
+		if d.until == 0 {
+			return p - f.Behind
+		}
+	}
+	return p
+}
+
+// value is what a group shows of a key: of its own up to one position, and of what fills it up to another.
+func (f *Fleet) value(g *group, key string, own, filled int64) (v string) {
+	dated := int64(-1)
+	f.versions(g, key, own, filled, func(held version) {
+		if held.position > dated {
+			v, dated = held.value, held.position
+		}
+	})
+	return v
+}
+
+// versions visits what a group has of a key up to two positions: its own, and what fills it or has filled it. What began
+// to fill it later had brought nothing by then.
+func (f *Fleet) versions(g *group, key string, own, filled int64, visit func(version)) {
+	for _, v := range g.log[key] {
+		if v.position <= own {
+			visit(v)
+		}
+	}
+	for _, d := range g.feeds {
+		if d.tenant != TenantOf(key) || d.begun > filled {
+			continue
+		}
+		most := filled
+		if d.until != 0 {
+			most = min(most, d.until)
+		}
+		for _, from := range d.from {
+			f.versions(f.find(from), key, most, most, visit)
+		}
+	}
+}
+
+func (f *Fleet) find(number int64) *group { return f.groups[number-1] }
+
+// Fill begins to fill groups with what others have of a tenant. It may be told more than once.
+func (f *Fleet) Fill(now int64, tenant string, from, to []int64) {
+	f.DropFill(tenant)
+	for _, number := range to {
+		g := f.find(number)
+		g.feeds = append(g.feeds, &feed{tenant: tenant, from: from, begun: now})
+	}
+}
+
+// EndFill ends the filling with a tenant's data at a position: what came up to there stays, and nothing later comes.
+func (f *Fleet) EndFill(tenant string, position int64) {
+	for _, g := range f.groups {
+		for _, d := range g.feeds {
+			if d.tenant == tenant && d.until == 0 {
+				d.until = position
+			}
+		}
+	}
+}
+
+// DropFill ends the filling with a tenant's data and throws away what came.
+func (f *Fleet) DropFill(tenant string) {
+	for _, g := range f.groups {
+		g.feeds = slices.DeleteFunc(g.feeds, func(d *feed) bool { return d.tenant == tenant && d.until == 0 })
+	}
+}
+
+// Slow makes a member so many times as slow; 1 makes it as before.
+func (f *Fleet) Slow(m MemberID, times int64) { f.members[m].slowed = times }
+
+// Pause lets a member stand still until a time.
+func (f *Fleet) Pause(m MemberID, until int64) { f.members[m].silent = until }
+
+// Mute makes a member lose its answers though it does what it is told.
+func (f *Fleet) Mute(m MemberID, mute bool) { f.members[m].mute = mute }
+
+// Lag sets how far a replica is behind.
+func (f *Fleet) Lag(m MemberID, lag int64) { f.members[m].lag = lag }
+
+// Holds tells whether a group has a write of a key.
+func (f *Fleet) Holds(now int64, number int64, key, id string) (holds bool) {
+	f.versions(f.find(number), key, math.MaxInt64, stamp(now), func(v version) { holds = holds || v.value == id })
+	return holds
+}
--- /dev/null
+++ b/internal/emulator/sight.go
@@ -0,0 +1,167 @@
+package emulator
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Sight is what members and clients saw, and the breaches of the rules found in it. It may be used by many at once.
+type Sight struct {
+	mu       sync.Mutex
+	rpcs     map[string]*sighting
+	acked    map[string][]ack // by key, what its clients were told is there
+	breaches []Breach
+}
+
+// sighting is one RPC.
+type sighting struct {
+	once     bool // non-idempotent
+	key      string
+	calls    int // that members got
+	refused  int // of those, by members that did nothing
+	effects  int
+	group    int64 // where it ran, and the position that it has there
+	position int64
+	answers  int
+}
+
+type ack struct {
+	id       string
+	position int64
+}
+
+// Breach is a rule that was broken.
+type Breach struct {
+	Rule string
+	RPC  string
+	What string
+}
+
+// NewSight makes one that has seen nothing.
+func NewSight() *Sight { return &Sight{rpcs: map[string]*sighting{}, acked: map[string][]ack{}} }
+
+// Names of rules in breaches.
+const (
+	RuleOneAnswer = "one final answer"
+	RuleTwice     = "no effect twice"
+	RuleStale     = "no stale read"
+	RuleLost      = "no acknowledged write lost"
+)
+
+func (s *Sight) breach(rule, rpc, format string, args ...any) {
+	s.breaches = append(s.breaches, Breach{rule, rpc, fmt.Sprintf(format, args...)})
+}
+
+func (s *Sight) rpc(id string) *sighting {
+	r := s.rpcs[id]
+	if r == nil {
+		r = &sighting{}
+		s.rpcs[id] = r
+	}
+	return r
+}
+
+// Sent notes that a client sends an RPC.
+func (s *Sight) Sent(id, key string, once bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rpc(id)
+	r.once, r.key = once, key
+}
+
+// arrive notes that a member got a call-out.
+func (s *Sight) arrive(st Statement, m MemberID, now int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rpc(st.ID)
+	r.calls++
+	if r.once && r.calls-r.refused > 1 {
+		s.breach(RuleTwice, st.ID, "member %d got a call-out at %d though an earlier one may have run", m, now)
+	}
+}
+
+func (s *Sight) refuse(st Statement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rpc(st.ID).refused++
+}
+
+// effect notes that a write ran.
+func (s *Sight) effect(st Statement, group, position int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rpc(st.ID)
+	if r.effects++; r.effects > 1 {
+		s.breach(RuleTwice, st.ID, "ran in group %d at %d after it ran in group %d", group, position, r.group)
+	}
+	r.group, r.position = group, position
+}
+
+// Answered notes the final answer of an RPC. Of a write that is served the client knows from here on that it is there.
+func (s *Sight) Answered(id string, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rpc(id)
+	if r.answers++; r.answers > 1 {
+		s.breach(RuleOneAnswer, id, "got answer %d", r.answers)
+	}
+	if !r.once || !served {
+		return
+	}
+	if r.effects == 0 {
+		s.breach(RuleLost, id, "was said to be served and never ran")
+	}
+	s.acked[r.key] = append(s.acked[r.key], ack{id, r.position})
+}
+
+// Known is the write of a key that its client was told of last, with the position that it was told.
+func (s *Sight) Known(key string) (id string, position int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if all := s.acked[key]; len(all) > 0 {
+		last := all[len(all)-1]
+		return last.id, last.position
+	}
+	return "", 0
+}
+
+// Read notes what a read showed of a key of which its client knew a write. Writes of a key come one after another, and
+// ids grow, so that a lower one is older.
+func (s *Sight) Read(id, key, shown, known string) {
+	if shown >= known {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breach(RuleStale, id, "showed %q of %q, where %q was known to be there", shown, key, known)
+}
+
+// Unanswered notes the RPCs that never got an answer though their clients waited.
+func (s *Sight) Unanswered(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breach(RuleOneAnswer, id, "got no answer")
+}
+
+// Settle checks, when all is over, that every acknowledged write is where its key's tenant is in the end.
+func (s *Sight) Settle(now int64, f *Fleet, group func(key string) int64) (writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, all := range s.acked {
+		at := group(key)
+		for _, a := range all {
+			writes++
+			if !f.Holds(now, at, key, a.id) {
+				s.breach(RuleLost, a.id, "acknowledged for %q, not in group %d (ran in %d)", key, at, s.rpcs[a.id].group)
+			}
+		}
+	}
+	return writes
+}
+
+// Breaches are those found so far.
+func (s *Sight) Breaches() []Breach {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Breach(nil), s.breaches...)
+}
--- /dev/null
+++ b/internal/emulator/sockets/drivers.go
@@ -0,0 +1,190 @@
+package sockets
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/transport"
+)
+
+// Method is what drivers are told of a method.
+type Method struct {
+	Name    string
+	Effect  string // repeatable or once
+	Level   string // what a read needs: loose, own_writes or latest; update for a write
+	Soft    time.Duration
+	Give    time.Duration // all that a client waits
+	Utility float64
+	Late    float64 // share of Utility after the soft deadline
+}
+
+// Driver is a driver's process.
+type Driver struct {
+	Name     string
+	Address  string
+	program  string
+	env      []string
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	done     chan struct{}
+	troubled time.Time // it was paused or killed last, or is
+	log      bytes.Buffer
+}
+
+// write lets a driver's output be kept.
+func (d *Driver) Write(p []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.log.Write(p)
+}
+
+// Log is what a driver has written.
+func (d *Driver) Log() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.log.String()
+}
+
+// FreeAddress is a loopback address that was free a moment ago.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Drivers writes what so many drivers are told into files in a directory and gives them, not started. The operator's
+// text is each one's, empty for no file.
+func (f *Fleet) Drivers(program, dir string, count int, methods []Method, text func(i int) string) (drivers []*Driver, err error) {
+	classes, levels := []any{}, []any{}
+	for _, m := range methods {
+		classes = append(classes, map[string]any{"name": m.Name, "effect": m.Effect, "aimUs": m.Soft.Microseconds(),
+			"giveUpUs": m.Give.Microseconds(), "worth": m.Utility, "lateWorth": m.Late})
+		levels = append(levels, m.Level)
+	}
+	for i := range count {
+		d := &Driver{Name: fmt.Sprintf("n%d", i), program: program}
+		if d.Address, err = FreeAddress(); err != nil {
+			return nil, err
+		}
+		told := map[string]any{"seed": fmt.Sprintf("%x", i+1), "known": f.List(),
+			"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 2048},
+			"settings": map[string]any{"classes": classes,
+				"extra": map[string]any{"readLevel": levels, "guards": "none", "tokens": "client"},
+				"limits": map[string]any{"probing": true, "cancelling": true, "mostTries": 4, "connectTimeoutUs": 250_000,
+					"keepaliveUs": 30_000_000, "retryAfter": true, "maxRetryAfterUs": 500_000},
+				"safety": map[string]any{"askEveryUs": 20_000_000}, "discovery": "subscribe", "fleetSize": count}}
+		config, err := json.Marshal(told)
+		if err != nil {
+			return nil, err
+		}
+		path := filepath.Join(dir, d.Name+".json")
+		if err := os.WriteFile(path, config, 0o600); err != nil {
+			return nil, err
+		}
+		d.env = append(os.Environ(), "GW_NAME="+d.Name, "GW_LISTEN="+d.Address, "GW_DISCOVERY="+f.Discovery(), "GW_CONFIG="+path)
+		if text := text(i); text != "" {
+			orders := filepath.Join(dir, d.Name+".textproto")
+			if err := os.WriteFile(orders, []byte(text), 0o600); err != nil {
+				return nil, err
+			}
+			d.env = append(d.env, "GW_OPERATOR="+orders)
+		}
+		drivers = append(drivers, d)
+	}
+	return drivers, nil
+}
+
+const readyWithin = 10 * time.Second
+
+// Start starts a driver that does not run, and waits until it is ready.
+func (d *Driver) Start(ctx context.Context) error {
+	if err := d.launch(); err != nil {
+		return err
+	}
+	by, stop := context.WithTimeout(ctx, readyWithin)
+	defer stop()
+	return d.Ready(by)
+}
+
+func (d *Driver) launch() error {
+	cmd := exec.Command(d.program, "serve")
+	cmd.Env, cmd.Stdout, cmd.Stderr = d.env, d, d
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	d.mu.Lock()
+	d.cmd, d.done = cmd, done
+	d.mu.Unlock()
+	go func() { cmd.Wait(); close(done) }()
+	return nil
+}
+
+// Ready waits until a driver that was started takes RPCs.
+func (d *Driver) Ready(by context.Context) error {
+	sockets := transport.NewDescriptors(mostConns)
+	for by.Err() == nil {
+		m, end := protocol.Connect(by, by, sockets, d.Address, protocol.RingBytes)
+		if end == transport.Open {
+			end = m.Ready(by)
+			m.Close(transport.ShutDown)
+		}
+		if end == transport.Open {
+			return nil
+		}
+		select {
+		case <-d.done:
+			return fmt.Errorf("driver %s ended: %s", d.Name, strings.TrimSpace(d.Log()))
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("driver %s is not ready: %s", d.Name, strings.TrimSpace(d.Log()))
+}
+
+// signal sends a signal to a driver that runs.
+func (d *Driver) signal(s syscall.Signal) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.troubled = time.Now()
+	if d.cmd == nil {
+		return errors.New("the driver does not run")
+	}
+	return d.cmd.Process.Signal(s)
+}
+
+// Pause lets a driver stand still.
+func (d *Driver) Pause() error { return d.signal(syscall.SIGSTOP) }
+
+// Continue lets a driver that stands still go on.
+func (d *Driver) Continue() error { return d.signal(syscall.SIGCONT) }
+
+// Kill ends a driver at once, and waits until it is gone.
+func (d *Driver) Kill() error {
+	err := d.signal(syscall.SIGKILL)
+	if err == nil {
+		<-d.done
+	}
+	return err
+}
+
+// Troubled tells whether a driver was paused, continued, killed or started again since a time.
+func (d *Driver) Troubled(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.troubled.After(since)
+}
--- /dev/null
+++ b/internal/emulator/sockets/members.go
@@ -0,0 +1,222 @@
+// Package sockets gives an emulated fleet a face on loopback: members that speak the platform's PostgreSQL form,
+// discovery over HTTP, and clients. Decisions on what happens are the model's, in package emulator.
+package sockets
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sedgespread/internal/emulator"
+	"sedgespread/internal/jsonhttp"
+	"sedgespread/internal/membership"
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/transport"
+)
+
+// Fleet is an emulated fleet on sockets.
+type Fleet struct {
+	*emulator.Sight
+	begun     time.Time
+	life      context.Context
+	die       context.CancelCauseFunc
+	listeners []*transport.Listener
+	addresses []string
+	tasks     errgroup.Group
+	discovery *httptest.Server
+	fillHook  *httptest.Server
+
+	mu    sync.Mutex
+	model *emulator.Fleet
+	fills map[string]uint64 // the newest epoch that a tenant's filling was asked for
+}
+
+const mostConns = 1 << 14
+
+// Start puts a fleet of a shape on loopback.
+func Start(s emulator.Shape) (*Fleet, error) {
+	sight := emulator.NewSight()
+	f := &Fleet{Sight: sight, begun: time.Now(), model: emulator.NewFleet(s, sight), fills: map[string]uint64{}}
+	f.life, f.die = context.WithCancelCause(context.Background())
+	d := transport.NewDescriptors(mostConns)
+	for i := range f.model.Count() {
+		l, err := transport.Listen("127.0.0.1:0", d, protocol.RingBytes)
+		if err != nil {
+			f.Stop()
+			return nil, err
+		}
+		f.listeners, f.addresses = append(f.listeners, l), append(f.addresses, l.Addr())
+		f.tasks.Go(func() error { f.accept(l, emulator.MemberID(i)); return nil })
+	}
+	f.discovery = httptest.NewServer(http.HandlerFunc(f.list))
+	f.fillHook = httptest.NewServer(http.HandlerFunc(f.fill))
+	return f, nil
+}
+
+// Stop ends all of it.
+func (f *Fleet) Stop() {
+	for _, l := range f.listeners {
+		l.Close()
+	}
+	f.die(transport.ShutDown)
+	for _, s := range []*httptest.Server{f.discovery, f.fillHook} {
+		if s != nil {
+			s.CloseClientConnections()
+			s.Close()
+		}
+	}
+	f.tasks.Wait()
+}
+
+// Now is the fleet's clock, Unix time in nanoseconds.
+func (f *Fleet) Now() int64 { return f.begun.UnixNano() + int64(time.Since(f.begun)) }
+
+// Model lets a function at the model, with the time that it is.
+func (f *Fleet) Model(do func(now int64, m *emulator.Fleet)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do(f.Now(), f.model)
+}
+
+func (f *Fleet) accept(l *transport.Listener, m emulator.MemberID) {
+	for {
+		c, err := l.Accept(f.life, 0, func(bool) {})
+		if err != nil {
+			return
+		}
+		f.tasks.Go(func() error { f.serve(protocol.Client{Conn: c}, m); return nil })
+	}
+}
+
+// serve answers one driver's connection as a member does.
+func (f *Fleet) serve(c protocol.Client, m emulator.MemberID) {
+	_, end := c.Welcome()
+	for end == transport.Open {
+		var text string
+		if text, end = c.Query(); end == transport.Open {
+			end = f.answer(c, m, text)
+		}
+	}
+	c.Close(end)
+}
+
+func (f *Fleet) answer(c protocol.Client, m emulator.MemberID, text string) transport.End {
+	if text == protocol.LoadQuery {
+		return f.look(c, m)
+	}
+	s, err := protocol.ParseStatement(text)
+	if err != nil {
+		return c.Deny(protocol.Failure{State: protocol.StateProtocol, Message: err.Error()})
+	}
+	order := emulator.Statement{ID: s.ID, Key: s.Key, Write: s.Write, Within: s.Left * int64(time.Millisecond)}
+	var done int64
+	var refused emulator.Refusal
+	var state emulator.Answer
+	f.Model(func(now int64, model *emulator.Fleet) {
+		done, refused = model.Arrive(now, m, order)
+		state = model.Look(now, m)
+	})
+	switch refused {
+	case emulator.Full:
+		return c.Deny(protocol.Failure{State: protocol.StateTooMany, Message: "the queue is full"}, told(state)...)
+	case emulator.ReadOnly:
+		return c.Deny(protocol.Failure{State: protocol.StateReadOnly, Message: "this is no primary"}, told(state)...)
+	}
+	time.Sleep(time.Duration(done - f.Now())) // what a member has begun it finishes, whoever left meanwhile
+	f.Model(func(now int64, model *emulator.Fleet) { state = model.Do(now, m, order) })
+	if state.Lost {
+		return c.Await(1)
+	}
+	return c.Give(state.Value, told(state)...)
+}
+
+func (f *Fleet) look(c protocol.Client, m emulator.MemberID) transport.End {
+	var a emulator.Answer
+	f.Model(func(now int64, model *emulator.Fleet) { a = model.Look(now, m) })
+	role := 0
+	if a.Primary {
+		role = 1
+	}
+	return c.Give(fmt.Sprintf("x0=%.3f,x1=%d", float64(a.Position/int64(time.Millisecond))/1000, role), told(a)...)
+}
+
+func told(a emulator.Answer) []protocol.Told {
+	role := "follower"
+	if a.Primary {
+		role = "leader"
+	}
+	return []protocol.Told{{Name: "node_role", Value: role},
+		{Name: "replay_position", Value: strconv.FormatInt(a.Position/int64(time.Millisecond), 10)}}
+}
+
+// Discovery is where discovery answers.
+func (f *Fleet) Discovery() string { return f.discovery.Listener.Addr().String() }
+
+// FillHook is where the store is asked to fill groups.
+func (f *Fleet) FillHook() string { return f.fillHook.URL + "/fill" }
+
+// List is discovery's list.
+func (f *Fleet) List() map[string]any {
+	entries := make([]any, 0, len(f.addresses))
+	f.Model(func(_ int64, model *emulator.Fleet) {
+		for i, address := range f.addresses {
+			entries = append(entries, map[string]any{"instanceId": fmt.Sprintf("m%d", i), "hostPort": address, "zone": "a",
+				"machineType": "m", "cell": model.Group(emulator.MemberID(i)), "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0})
+		}
+	})
+	return map[string]any{"generation": 1, "reset": true, "instances": entries}
+}
+
+// list answers as discovery does. Nothing changes in the list, so that a watch waits for its time.
+func (f *Fleet) list(w http.ResponseWriter, r *http.Request) {
+	list := f.List()
+	if r.URL.Query().Get("index") != "" {
+		wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+		select {
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		case <-f.life.Done():
+			return
+		}
+		list["reset"], list["instances"] = false, []any{}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	jsonhttp.Write(w, list)
+}
+
+// fill takes what a coordinator asks of the store. One that is older than what was asked before changes nothing.
+func (f *Fleet) fill(w http.ResponseWriter, r *http.Request) {
+	var asked membership.Filling
+	jsonhttp.Answer(w, r, &asked, func() (any, error) {
+		f.Model(func(now int64, model *emulator.Fleet) {
+			tenant := string(asked.Tenant)
+			if uint64(asked.Epoch) <= f.fills[tenant] {
+				return
+			}
+			f.fills[tenant] = uint64(asked.Epoch)
+			switch asked.Step {
+			case "begin":
+				model.Fill(now, tenant, numbers(asked.From), numbers(asked.To))
+			case "end":
+				model.EndFill(tenant, asked.Cut)
+			case "drop":
+				model.DropFill(tenant)
+			}
+		})
+		return nil, nil
+	})
+}
+
+func numbers[T ~int64](groups []T) (numbers []int64) {
+	for _, g := range groups {
+		numbers = append(numbers, int64(g))
+	}
+	return numbers
+}
--- /dev/null
+++ b/internal/jsonhttp/jsonhttp.go
@@ -0,0 +1,75 @@
+// Package jsonhttp asks and answers in JSON over HTTP, between instances and with operators. A refusal is one line.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	mostBytes  = 64 << 20 // of a request or an answer
+	mostLine   = 4 << 10  // of a refusal
+	headWithin = 2 * time.Second
+)
+
+// Serve answers requests until the context ends.
+func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headWithin, BaseContext: func(net.Listener) context.Context { return ctx }}
+	defer context.AfterFunc(ctx, func() { s.Close() })()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Answer reads what was asked and answers it. What can't be read is a 400, and what can't be done a 409.
+func Answer(w http.ResponseWriter, r *http.Request, asked any, do func() (any, error)) {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostBytes)).Decode(asked); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result, err := do()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	Write(w, result)
+}
+
+// Post sends what is asked and reads the answer, into nil for none. A refusal is an error of its one line.
+func Post(ctx context.Context, client *http.Client, url string, asked, into any) error {
+	text, err := json.Marshal(asked)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		line, _ := io.ReadAll(io.LimitReader(response.Body, mostLine))
+		return fmt.Errorf("%s", strings.TrimSpace(string(line)))
+	}
+	if into == nil {
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, mostBytes)).Decode(into)
+}
+
+// Write writes an answer. A far side that has gone does not matter.
+func Write(w http.ResponseWriter, answer any) { json.NewEncoder(w).Encode(answer) }
--- /dev/null
+++ b/internal/membership/chair.go
@@ -0,0 +1,294 @@
+// Package membership keeps drivers and their coordinator in touch: leases, and the entries that say where tenants are.
+// What is decided is decided in package cells; here are the journal, the clock and the connections.
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sedgespread/internal/cells"
+	"sedgespread/internal/jsonhttp"
+	"sedgespread/internal/store"
+)
+
+// Chair is the coordinator at work: it answers drivers and takes moves on. All that it tells anybody it has written down
+// before.
+type Chair struct {
+	journal *store.Journal
+	fill    Fill
+	log     logrus.FieldLogger
+	begun   time.Time
+
+	mu      sync.Mutex
+	c       *cells.Coordinator
+	changed chan struct{} // closed at the next entry
+	broken  error         // the journal could not be written last
+	asked   map[cells.Tenant]cells.Epoch
+}
+
+// Fill asks the store for one step, and returns once it has taken it: to begin filling a tenant's new groups with what
+// its old ones have, to end that at a position, or to drop what has come. It is asked again after a failure, and after a
+// restart. Nil where the store fills all groups always.
+type Fill func(ctx context.Context, f Filling) error
+
+// Filling is what the store is asked.
+type Filling struct {
+	Step   string       `json:"step"` // begin, end or drop
+	Tenant cells.Tenant `json:"tenant"`
+	Epoch  cells.Epoch  `json:"epoch"` // of the decision that it is asked for; higher ones supersede it
+	From   cells.Groups `json:"from"`
+	To     cells.Groups `json:"to"`
+	Cut    int64        `json:"cut_ns,omitempty"` // of end: nothing later may come
+}
+
+const (
+	stepEvery = 10 * time.Millisecond
+	fillAgain = 500 * time.Millisecond
+	mostWait  = time.Minute
+)
+
+// NewChair takes up what a journal holds. Leases that were given before are waited for.
+func NewChair(book *cells.Book, j *store.Journal, lease, hold time.Duration, fill Fill, log logrus.FieldLogger) (*Chair, error) {
+	h := &Chair{journal: j, fill: fill, log: log, begun: time.Now(), changed: make(chan struct{}), asked: map[cells.Tenant]cells.Epoch{}}
+	var records []cells.Record
+	err := j.Replay(func(text []byte) error {
+		var r cells.Record
+		if err := json.Unmarshal(text, &r); err != nil {
+			return err
+		}
+		records = append(records, r)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.c, err = cells.NewCoordinator(h.now(), book, int64(lease), int64(hold), fill != nil, records)
+	return h, err
+}
+
+func (h *Chair) now() int64 { return h.begun.UnixNano() + int64(time.Since(h.begun)) }
+
+// write writes records down and then lets them count. The lock is held.
+func (h *Chair) write(records []cells.Record) error {
+	texts := make([][]byte, 0, len(records))
+	for _, r := range records {
+		text, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		texts = append(texts, text)
+	}
+	err := h.journal.Append(texts...)
+	if (err == nil) != (h.broken == nil) {
+		h.log.WithField("error", err).Warn("the journal can be written, or not")
+	}
+	if h.broken = err; err != nil {
+		return fmt.Errorf("nothing was changed: %w", err)
+	}
+	for _, r := range records {
+		if err := h.c.Apply(r); err != nil {
+			return err
+		}
+		if e := r.Entry; e != nil {
+			h.log.WithFields(logrus.Fields{"tenant": e.Tenant, "stage": e.Stage, "cell": e.Cell, "to": e.To, "epoch": e.Epoch,
+				"why": e.Why}).Info("move")
+			close(h.changed)
+			h.changed = make(chan struct{})
+		}
+	}
+	return nil
+}
+
+// Run takes moves on until the context ends.
+func (h *Chair) Run(ctx context.Context) {
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			h.step(ctx)
+		}
+	}
+}
+
+// step takes all moves on as far as they can go now.
+func (h *Chair) step(ctx context.Context) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for records := h.c.Step(h.now()); len(records) > 0; records = h.c.Step(h.now()) {
+		if h.write(records) != nil {
+			return
+		}
+	}
+	if h.fill == nil {
+		return
+	}
+	for _, f := range h.fillings() {
+		h.asked[f.Tenant] = f.Epoch
+		go h.filling(ctx, f)
+	}
+}
+
+// fillSteps are what the store is asked at a stage.
+var fillSteps = map[cells.Stage]string{cells.Prepared: "begin", cells.Switched: "end", cells.Returning: "drop"}
+
+// fillings are what the store has to be asked and has not been. The lock is held.
+func (h *Chair) fillings() (due []Filling) {
+	l := h.c.Book().Layout()
+	for _, e := range h.c.Book().Moving() {
+		step, asks := fillSteps[e.Stage]
+		if !asks || h.asked[e.Tenant] == e.Epoch {
+			continue
+		}
+		f := Filling{Step: step, Tenant: e.Tenant, Epoch: e.Epoch, Cut: e.Cut}
+		from, to := l.Find(e.Cell), l.Find(e.To)
+		if e.Stage == cells.Switched {
+			from, to = to, from
+		}
+		f.From, f.To = l.Shard(e.Tenant, from), l.Shard(e.Tenant, to)
+		due = append(due, f)
+	}
+	return due
+}
+
+// filling asks the store, and lets it be asked again where that failed.
+func (h *Chair) filling(ctx context.Context, f Filling) {
+	err := h.fill(ctx, f)
+	if err != nil {
+		h.log.WithError(err).WithField("tenant", f.Tenant).WithField("step", f.Step).Warn("the store did not take a filling")
+		time.Sleep(fillAgain)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.c.Filled(f.Tenant, f.Epoch)
+	} else if h.asked[f.Tenant] == f.Epoch {
+		delete(h.asked, f.Tenant)
+	}
+}
+
+// Renew answers a driver's report, at once where it is out of date and else once something has changed or the wait is
+// over.
+func (h *Chair) Renew(ctx context.Context, r cells.Report, wait time.Duration) (cells.Grant, error) {
+	h.mu.Lock()
+	records, err := h.c.Renew(r)
+	if err == nil {
+		err = h.write(records)
+	}
+	if err != nil {
+		h.mu.Unlock()
+		return cells.Grant{}, err
+	}
+	grant, changed := h.c.Grant(h.now(), r), h.changed
+	h.mu.Unlock()
+	if len(grant.Entries) > 0 || grant.Lease == 0 || wait <= 0 {
+		return grant, nil
+	}
+	timer := time.NewTimer(min(wait, mostWait))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return cells.Grant{}, ctx.Err()
+	case <-timer.C:
+	case <-changed:
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.c.Newer(r), nil
+}
+
+// Move begins to move tenants, all of them or none.
+func (h *Chair) Move(moves []Move) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range moves {
+		records, err := h.c.Move(h.now(), m.Tenant, m.To, m.Why)
+		if err == nil {
+			err = h.write(records)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Abort calls a move off.
+func (h *Chair) Abort(t cells.Tenant, why string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	records, err := h.c.Abort(h.now(), t, why)
+	if err != nil {
+		return err
+	}
+	return h.write(records)
+}
+
+// Move is what is asked of a coordinator.
+type Move struct {
+	Tenant cells.Tenant `json:"tenant"`
+	To     string       `json:"to"`
+	Why    string       `json:"why"`
+}
+
+// State is what a coordinator tells of itself.
+type State struct {
+	Epoch   cells.Epoch     `json:"epoch"`
+	Drivers []cells.Driver  `json:"drivers"`
+	Now     int64           `json:"now"`
+	Loads   []cells.Weighed `json:"loads"`   // RPCs a second, the heaviest tenants first
+	Entries []cells.Entry   `json:"entries"` // of all tenants that were ever moved, the one decided on last last
+}
+
+// State tells where moves stand.
+func (h *Chair) State() State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return State{Epoch: h.c.Book().Newest(), Drivers: h.c.Drivers(), Now: h.now(), Loads: h.c.Loads(h.now()), Entries: h.c.Book().Since(0)}
+}
+
+// Become takes over a file read again.
+func (h *Chair) Become(l *cells.Layout, pins map[cells.Tenant]string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.c.Book().Become(l, pins)
+}
+
+// Serve answers drivers and operators until the context ends.
+func (h *Chair) Serve(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/renew", func(w http.ResponseWriter, r *http.Request) {
+		var asked renewal
+		jsonhttp.Answer(w, r, &asked, func() (any, error) {
+			return h.Renew(r.Context(), asked.Report, time.Duration(asked.WaitMs)*time.Millisecond)
+		})
+	})
+	mux.HandleFunc("POST /v1/move", func(w http.ResponseWriter, r *http.Request) {
+		var moves []Move
+		jsonhttp.Answer(w, r, &moves, func() (any, error) { return nil, h.Move(moves) })
+	})
+	mux.HandleFunc("POST /v1/abort", func(w http.ResponseWriter, r *http.Request) {
+		var m Move
+		jsonhttp.Answer(w, r, &m, func() (any, error) { return nil, h.Abort(m.Tenant, m.Why) })
+	})
+	mux.HandleFunc("POST /v1/state", func(w http.ResponseWriter, r *http.Request) {
+		var none struct{}
+		jsonhttp.Answer(w, r, &none, func() (any, error) { return h.State(), nil })
+	})
+	return jsonhttp.Serve(ctx, l, mux)
+}
+
+// renewal is what a driver sends.
+type renewal struct {
+	cells.Report
+	WaitMs int64 `json:"wait_ms"`
+}
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"net/netip"
 	"net/url"
+	"slices"
 
 	"sedgespread/internal/cells"
+	"sedgespread/internal/planner"
 	"sedgespread/proto/operatorpb"
 	"sedgespread/rules"
 )
@@ -131,9 +134,9 @@
 }
 
 func (o *Orders) checkTenants() error {
-	names, seen := map[string]bool{}, map[string]bool{}
+	halls, seen := map[string]string{}, map[string]bool{} // of the cells, by name
 	for _, c := range o.Cells.Cell {
-		names[c.Name] = true
+		halls[c.Name] = c.Hall
 	}
 	for i, t := range o.Cells.Tenant {
 		at := fmt.Sprintf("cells.tenant[%d].", i)
@@ -142,8 +145,12 @@
 			return o.fault(at+"name", "is missing")
 		case seen[t.Name]:
 			return o.fault(at+"name", "%q stands twice", t.Name)
-		case t.Cell != "" && !names[t.Cell]:
+		case t.Cell != "" && !known(halls, t.Cell):
 			return o.fault(at+"cell", "there is no cell %q", t.Cell)
+		case t.Hall != "" && !slices.Contains(slices.Collect(maps.Values(halls)), t.Hall):
+			return o.fault(at+"hall", "no cell stands in hall %q", t.Hall)
+		case t.Hall != "" && t.Cell != "" && halls[t.Cell] != t.Hall:
+			return o.fault(at+"hall", "cell %q stands in hall %q", t.Cell, halls[t.Cell])
 		}
 		seen[t.Name] = true
 		if err := o.positive(at+"weight", t.Weight, leastWeight); err != nil {
@@ -153,6 +160,11 @@
 	return nil
 }
 
+func known(names map[string]string, name string) bool {
+	_, is := names[name]
+	return is
+}
+
 func (o *Orders) checkBudget() error {
 	b, count := o.Cells.Budget, uint32(len(o.Cells.Cell))
 	switch {
@@ -271,13 +283,56 @@
 	return cells.NewLimits(all, b.Lend, l, o.Weights())
 }
 
-// Gate is what a driver confines tenants by.
-func (o *Orders) Gate() *cells.Gate {
+// Book is where the file alone says that tenants are.
+func (o *Orders) Book() *cells.Book {
 	l := o.Layout()
 	pins := map[cells.Tenant]cells.Cell{}
 	for t, name := range o.Pins() {
 		pins[t] = l.Find(name)
 	}
+	return cells.NewBook(l, pins)
+}
+
+// Gate is what a driver confines tenants by.
+func (o *Orders) Gate() *cells.Gate {
+	b := o.Book()
 	held := int(o.Cells.GetCoordination().GetHeld())
-	return cells.NewGate(l, o.Tenancy(), cells.NewBook(l, pins), o.Limits(l), o.Cells.Coordination != nil, held)
+	return cells.NewGate(b, o.Tenancy(), o.Limits(b.Layout()), o.Cells.Coordination != nil, held)
+}
+
+// Rooms are the cells for the planner, in the file's order.
+func (o *Orders) Rooms() (rooms []planner.Cell) {
+	for _, c := range o.Cells.Cell {
+		rooms = append(rooms, planner.Cell{Name: c.Name, Able: c.Capacity, Hall: c.Hall})
+	}
+	return rooms
+}
+
+// Halls are the halls that tenants' cells must stand in.
+func (o *Orders) Halls() map[cells.Tenant]string {
+	halls := map[cells.Tenant]string{}
+	for _, t := range o.Cells.Tenant {
+		if t.Hall != "" {
+			halls[cells.Tenant(t.Name)] = t.Hall
+		}
+	}
+	return halls
+}
+
+// Fixed is what of a file only a start can change.
+func (o *Orders) Fixed() string {
+	return fmt.Sprint(o.Admin, o.Cells == nil, o.Cells.GetGroupsATenant(), o.Cells.GetBudget(), o.Cells.GetCoordination())
+}
+
+// Summary says in a few words what a file asks for.
+func (o *Orders) Summary() string {
+	if o.Cells == nil {
+		return "no cells"
+	}
+	coordination := "no coordination"
+	if k := o.Cells.Coordination; k != nil {
+		coordination = "coordinator at " + k.At
+	}
+	return fmt.Sprintf("%d cells, %d rules of tenancy, %d tenants, %s", len(o.Cells.Cell), len(o.Cells.Tenancy.Rule),
+		len(o.Cells.Tenant), coordination)
 }
--- a/internal/program/posting.go
+++ b/internal/program/posting.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sedgespread/internal/briefing"
+	"sedgespread/internal/operator"
 	"sedgespread/internal/protocol"
 )
 
@@ -26,9 +27,10 @@
 	Known                   protocol.Targets
 	Deployment              *briefing.Parts
 	ConnectWithin           time.Duration
-	IdleFor                 time.Duration // a connection to a member may be idle so long
-	WatchFor                time.Duration // a watch waits for news so long
-	path                    string
+	IdleFor                 time.Duration    // a connection to a member may be idle so long
+	WatchFor                time.Duration    // a watch waits for news so long
+	Orders                  *operator.Orders // nil without an operator's file
+	path, ordersPath        string
 }
 
 const (
@@ -54,7 +56,10 @@
 	if _, _, err := net.SplitHostPort(p.Discovery); err != nil {
 		return nil, fmt.Errorf("GW_DISCOVERY: %w", err)
 	}
-	return p, nil
+	if p.ordersPath = env("GW_OPERATOR"); p.ordersPath != "" {
+		p.Orders, err = operator.Read(p.ordersPath)
+	}
+	return p, err
 }
 
 // Again reads the file once more. What it does not say stays; the environment counts at the start alone.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -29,6 +29,7 @@
 	peers       *peers
 	source      *source
 	ready       *readiness
+	confined    *confinement   // nil without an operator's file
 	tasks       errgroup.Group // call-outs, probes and the watch
 }
 
@@ -56,6 +57,12 @@
 		return err
 	}
 	defer p.peers.close()
+	if p.confined, err = p.confine(); err != nil {
+		return err
+	}
+	if p.confined != nil {
+		defer p.confined.close()
+	}
 	door, err := transport.Listen(posting.Listen, p.descriptors, protocol.RingBytes)
 	if err != nil {
 		return fmt.Errorf("GW_LISTEN: %w", err)
@@ -72,6 +79,9 @@
 	p.tasks.Go(func() error { p.lobby.keep(p.life); return nil })
 	p.tasks.Go(func() error { p.reloads(reload); return nil })
 	p.tasks.Go(func() error { p.peers.hear(p.router); return nil })
+	if p.confined != nil {
+		p.tasks.Go(func() error { return p.confined.run(p.life) })
+	}
 	sessions.Go(func() error { return p.welcome(door, &sessions) })
 	p.log.WithField("listen", p.posting.Listen).Info("serving")
 	<-ctx.Done()
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -24,6 +24,9 @@
 // here on. A file that can't be read changes nothing.
 func (p *Program) reload(held *Posting) *Posting {
 	next, err := held.Again()
+	if err == nil && p.confined != nil {
+		err = p.confined.reload(p.posting.ordersPath)
+	}
 	if err != nil {
 		p.log.WithError(err).Warn("reload refused")
 		return held
--- /dev/null
+++ b/internal/store/journal.go
@@ -0,0 +1,191 @@
+// Package store keeps what has to outlast a crash: records in the order in which they were written, in a bbolt file.
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+)
+
+// Journal is a file of records. A record is there once Append has returned, and either all of one Append's are or none.
+type Journal struct {
+	db   *bbolt.DB
+	path string
+}
+
+const (
+	form     = 1 // of what is written
+	lockWait = time.Second
+	sumBytes = 8
+)
+
+var (
+	bucketRecords = []byte("records")
+	bucketForm    = []byte("form")
+	keyForm       = []byte("version")
+)
+
+// Open opens a journal, or begins one where there is no file. A file that was cut off or changed is refused: what is left
+// of it may be older than what others have been told.
+func Open(path string) (j *Journal, err error) {
+	defer rescue(path, &err)
+	if err := whole(path); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		err = errors.New("another process has it open")
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	j = &Journal{db: db, path: path}
+	if err := j.begin(); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return j, nil
+}
+
+// rescue makes an error of what the store below panics with when pages of the file are not what they should be.
+func rescue(path string, err *error) {
+	if r := recover(); r != nil {
+		*err = fmt.Errorf("%s: the file is damaged: %v", path, r)
+	}
+}
+
+// begin checks the form of a journal that has been written to, and gives a new one its own.
+func (j *Journal) begin() error {
+	return j.db.Update(func(tx *bbolt.Tx) error {
+		for err := range tx.Check() {
+			return fmt.Errorf("the file is damaged: %w", err)
+		}
+		if b := tx.Bucket(bucketForm); b != nil {
+			if v := b.Get(keyForm); len(v) != 1 || v[0] != form {
+				return fmt.Errorf("its form is %v, and this program knows %d", v, form)
+			}
+			return nil
+		}
+		b, err := tx.CreateBucket(bucketForm)
+		if err != nil {
+			return err
+		}
+		if _, err := tx.CreateBucket(bucketRecords); err != nil {
+			return err
+		}
+		return b.Put(keyForm, []byte{form})
+	})
+}
+
+// Append writes records and waits until they are on the disk.
+func (j *Journal) Append(records ...[]byte) (err error) {
+	if len(records) == 0 {
+		return nil
+	}
+	defer rescue(j.path, &err)
+	return j.db.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucketRecords)
+		b.FillPercent = 1 // they come in order
+		for _, r := range records {
+			n, err := b.NextSequence()
+			if err != nil {
+				return err
+			}
+			value := append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(r)), r...)
+			if err := b.Put(binary.BigEndian.AppendUint64(nil, n), value); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Replay gives all records in their order. One that is missing or was changed ends it with an error.
+func (j *Journal) Replay(each func(record []byte) error) (err error) {
+	defer rescue(j.path, &err)
+	return j.db.View(func(tx *bbolt.Tx) error {
+		b, count := tx.Bucket(bucketRecords), uint64(0)
+		err := b.ForEach(func(k, v []byte) error {
+			count++
+			if len(k) != 8 || binary.BigEndian.Uint64(k) != count {
+				return fmt.Errorf("%s: record %d is missing", j.path, count)
+			}
+			if len(v) < sumBytes || binary.BigEndian.Uint64(v) != xxhash.Sum64(v[sumBytes:]) {
+				return fmt.Errorf("%s: record %d was changed", j.path, count)
+			}
+			return each(v[sumBytes:])
+		})
+		if err == nil && count != b.Sequence() {
+			err = fmt.Errorf("%s: %d records, and %d were written", j.path, count, b.Sequence())
+		}
+		return err
+	})
+}
+
+// Close closes the file.
+func (j *Journal) Close() error { return j.db.Close() }
+
+// The first two pages of a bbolt file are its metas, which by turns say how much of the file counts.
+const (
+	pageHead  = 16
+	metaBytes = 64
+	metaMagic = 0xED0CDAED
+	metaSize  = 8  // where the size of a page stands in a meta
+	metaPages = 40 // how many pages count
+	metaTurn  = 48 // the newer one has more
+	metaSum   = 56
+)
+
+// whole tells whether a file is as long as the newest of its metas says. bbolt maps a file that is not, and the first
+// look at what is missing would end the process.
+func whole(path string) error {
+	file, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return err
+	}
+	if info.Size() == 0 {
+		return errors.New("the file is empty: remove it to begin a new journal, if nothing was ever written to it")
+	}
+	size := int64(os.Getpagesize())
+	var newest uint64
+	pages := int64(0)
+	for i := int64(0); i < 2; i++ {
+		if turn, count, of, ok := meta(file, i*size); ok && turn >= newest {
+			newest, pages, size = turn, count, of
+		}
+	}
+	if pages == 0 || info.Size() < pages*size {
+		return fmt.Errorf("the file was cut off: it has %d bytes of %d", info.Size(), pages*size)
+	}
+	return nil
+}
+
+// meta reads a meta, and tells whether it is one.
+func meta(file io.ReaderAt, at int64) (turn uint64, pages, size int64, ok bool) {
+	var b [pageHead + metaBytes]byte
+	if _, err := file.ReadAt(b[:], at); err != nil {
+		return 0, 0, 0, false
+	}
+	m, order := b[pageHead:], binary.NativeEndian
+	sum := fnv.New64a()
+	sum.Write(m[:metaSum])
+	if order.Uint32(m) != metaMagic || order.Uint64(m[metaSum:]) != sum.Sum64() {
+		return 0, 0, 0, false
+	}
+	return order.Uint64(m[metaTurn:]), int64(order.Uint64(m[metaPages:])), int64(order.Uint32(m[metaSize:])), true
+}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -69,3 +69,6 @@
 
 // Close ends the listener.
 func (l *Listener) Close() { l.nl.Close() }
+
+// Addr is where clients connect.
+func (l *Listener) Addr() string { return l.nl.Addr().String() }
