Moves of tenants under writes and faults are tried on the emulated fleet; drivers are ready with a lease

Change: a trial that moves tenants at random, asks twice, calls off, pauses and kills drivers, kills the coordinator, mutes, pauses and delays members, and checks effects, answers, reads and where acknowledged writes are in the end. Members that a move waits for are probed at once; a coordinated driver is ready once it has had its first lease.

--- a/cmd/sedgespread/emulate.go
+++ b/cmd/sedgespread/emulate.go
@@ -14,6 +14,7 @@
 
 type emulate struct {
 	Flood emulateFlood `cmd:"" help:"Flood one cell and see how the others fare, with cells and without."`
+	Moves emulateMoves `cmd:"" help:"Move tenants between cells while they write and read and while much fails."`
 }
 
 // interrupted ends with SIGINT or SIGTERM.
@@ -55,3 +56,37 @@
 		"tenants kept %.3f.\n", r.Kept, r.KeptOff, r.Within)
 	return nil
 }
+
+type emulateMoves struct {
+	Seed    uint64        `default:"1" help:"Of all that is drawn."`
+	Count   int           `default:"300" help:"Moves that have to be done."`
+	Span    time.Duration `default:"10m" help:"In which they have to be."`
+	Tenants int           `default:"8"`
+	Keys    int           `default:"6" help:"Keys of a tenant, each with a client of its own."`
+	Lease   time.Duration `default:"1s" help:"Of drivers."`
+	Hold    time.Duration `default:"1500ms" help:"For which a move may hold writes."`
+	Calm    bool          `help:"Let nothing fail."`
+}
+
+// Run plays a night of moves and prints what came of it. Breaches of the rules are an error.
+func (v emulateMoves) Run() error {
+	ctx, stop := interrupted()
+	defer stop()
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	trial := trials.Moves{Program: program, Seed: v.Seed, Count: v.Count, Span: v.Span, Faults: !v.Calm, Tenants: v.Tenants,
+		Keys: v.Keys, Lease: v.Lease, Hold: v.Hold}
+	begun := time.Now()
+	r, err := trial.Run(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s\nseed %d, 3 cells of 3 members, 3 drivers and one that coordinates, %d tenants of %d keys, lease %v, hold %v, %v long\n\n%s",
+		place(), v.Seed, v.Tenants, v.Keys, v.Lease, v.Hold, time.Since(begun).Round(time.Second), r.Table())
+	if len(r.Breaches) > 0 {
+		return fmt.Errorf("%d breaches, the first: %+v", len(r.Breaches), r.Breaches[0])
+	}
+	return nil
+}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -9,9 +9,11 @@
 package emulator
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"strings"
 
 	"gonum.org/v1/gonum/stat/distuv"
@@ -68,18 +70,17 @@
 type feed struct {
 	tenant string
 	from   []int64
-	begun  int64
-	until  int64 // 0 while it goes on
 }
 
 type member struct {
-	group  *group
-	free   []int64 // by core, when it will be
-	starts []int64 // of statements that wait, the first first
-	lag    int64   // of a replica
-	slowed int64   // everything takes so many times as long, 0 for 1
-	silent int64   // it says nothing until then
-	mute   bool    // it does what it is told and loses the answers
+	group   *group
+	free    []int64 // by core, when it will be
+	starts  []int64 // of statements that wait, the first first
+	lag     int64   // of a replica
+	applied int64
+	slowed  int64 // everything takes so many times as long, 0 for 1
+	silent  int64 // it says nothing until then
+	mute    bool  // it does what it is told and loses the answers
 }
 
 // NewFleet makes a fleet; groups are numbered from 1, and the first member of each is its primary.
@@ -172,7 +173,7 @@
 	a := Answer{Primary: at.group.primary == m, Lost: at.mute}
 	if !s.Write {
 		a.Position = f.position(now, m)
-		own := a.Position
+		own := at.apply(now) // what fills a group does not take back what it has
 		if a.Primary {
 			own = math.MaxInt64
 		}
@@ -197,79 +198,95 @@
 // stamp is the position of a moment: positions are told in whole milliseconds.
 func stamp(now int64) int64 { return (now + milli - 1) / milli * milli }
 
+// apply is how far a replica has its group's log: it never goes back, however its lag grows.
+func (m *member) apply(now int64) int64 {
+	m.applied = max(m.applied, stamp(now)-m.lag)
+	return m.applied
+}
+
 // position is how far a member has come: behind by its lag, and by what fills its group.
 func (f *Fleet) position(now int64, m MemberID) int64 {
 	at, p := f.members[m], stamp(now)
 	if at.group.primary != m {
-		p -= at.lag
+		p = at.apply(now)
 	}
-	for _, d := range at.group.feeds {
-		if d.until == 0 {
-			return p - f.Behind
-		}
+	if len(at.group.feeds) > 0 {
+		return p - f.Behind
 	}
 	return p
 }
 
-// value is what a group shows of a key: of its own up to one position, and of what fills it up to another.
-func (f *Fleet) value(g *group, key string, own, filled int64) (v string) {
-	dated := int64(-1)
-	f.versions(g, key, own, filled, func(held version) {
-		if held.position > dated {
-			v, dated = held.value, held.position
-		}
-	})
-	return v
-}
-
-// versions visits what a group has of a key up to two positions: its own, and what fills it or has filled it. What began
-// to fill it later had brought nothing by then.
-func (f *Fleet) versions(g *group, key string, own, filled int64, visit func(version)) {
-	for _, v := range g.log[key] {
-		if v.position <= own {
-			visit(v)
-		}
-	}
+// value is what a group shows of a key: of its own up to one position, and of what fills it just now up to another.
+func (f *Fleet) value(g *group, key string, own, filled int64) string {
+	v := newest(g.log[key], own)
 	for _, d := range g.feeds {
-		if d.tenant != TenantOf(key) || d.begun > filled {
+		if d.tenant != TenantOf(key) {
 			continue
 		}
-		most := filled
-		if d.until != 0 {
-			most = min(most, d.until)
-		}
 		for _, from := range d.from {
-			f.versions(f.find(from), key, most, most, visit)
+			if other := newest(f.find(from).log[key], filled); other.position > v.position {
+				v = other
+			}
 		}
 	}
+	return v.value
+}
+
+// newest is the newest version up to a position.
+func newest(versions []version, position int64) version {
+	n := sort.Search(len(versions), func(i int) bool { return versions[i].position > position })
+	if n == 0 {
+		return version{}
+	}
+	return versions[n-1]
 }
 
 func (f *Fleet) find(number int64) *group { return f.groups[number-1] }
 
 // Fill begins to fill groups with what others have of a tenant. It may be told more than once.
-func (f *Fleet) Fill(now int64, tenant string, from, to []int64) {
+func (f *Fleet) Fill(tenant string, from, to []int64) {
 	f.DropFill(tenant)
 	for _, number := range to {
 		g := f.find(number)
-		g.feeds = append(g.feeds, &feed{tenant: tenant, from: from, begun: now})
+		g.feeds = append(g.feeds, &feed{tenant: tenant, from: from})
 	}
 }
 
-// EndFill ends the filling with a tenant's data at a position: what came up to there stays, and nothing later comes.
+// EndFill ends the filling with a tenant's data at a position: what came up to there is the group's own from here on, and
+// nothing later comes.
 func (f *Fleet) EndFill(tenant string, position int64) {
 	for _, g := range f.groups {
 		for _, d := range g.feeds {
-			if d.tenant == tenant && d.until == 0 {
-				d.until = position
+			if d.tenant != tenant {
+				continue
+			}
+			for _, from := range d.from {
+				g.merge(f.find(from), tenant, position)
 			}
 		}
 	}
+	f.DropFill(tenant)
+}
+
+// merge takes over what another group has of a tenant up to a position.
+func (g *group) merge(from *group, tenant string, position int64) {
+	for key, versions := range from.log {
+		if TenantOf(key) != tenant {
+			continue
+		}
+		n := sort.Search(len(versions), func(i int) bool { return versions[i].position > position })
+		all := append(slices.Clone(g.log[key]), versions[:n]...)
+		slices.SortStableFunc(all, func(a, b version) int {
+			return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.value, b.value))
+		})
+		g.log[key] = slices.Compact(all)
+	}
 }
 
 // DropFill ends the filling with a tenant's data and throws away what came.
 func (f *Fleet) DropFill(tenant string) {
 	for _, g := range f.groups {
-		g.feeds = slices.DeleteFunc(g.feeds, func(d *feed) bool { return d.tenant == tenant && d.until == 0 })
+		g.feeds = slices.DeleteFunc(g.feeds, func(d *feed) bool { return d.tenant == tenant })
 	}
 }
 
@@ -282,11 +299,13 @@
 // Mute makes a member lose its answers though it does what it is told.
 func (f *Fleet) Mute(m MemberID, mute bool) { f.members[m].mute = mute }
 
-// Lag sets how far a replica is behind.
-func (f *Fleet) Lag(m MemberID, lag int64) { f.members[m].lag = lag }
+// LagBy sets how far a replica is behind.
+func (f *Fleet) LagBy(now int64, m MemberID, lag int64) {
+	f.members[m].apply(now)
+	f.members[m].lag = lag
+}
 
 // Holds tells whether a group has a write of a key.
-func (f *Fleet) Holds(now int64, number int64, key, id string) (holds bool) {
-	f.versions(f.find(number), key, math.MaxInt64, stamp(now), func(v version) { holds = holds || v.value == id })
-	return holds
+func (f *Fleet) Holds(number int64, key, id string) bool {
+	return slices.ContainsFunc(f.find(number).log[key], func(v version) bool { return v.value == id })
 }
--- a/internal/emulator/sight.go
+++ b/internal/emulator/sight.go
@@ -144,14 +144,14 @@
 }
 
 // Settle checks, when all is over, that every acknowledged write is where its key's tenant is in the end.
-func (s *Sight) Settle(now int64, f *Fleet, group func(key string) int64) (writes int) {
+func (s *Sight) Settle(f *Fleet, group func(key string) int64) (writes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, all := range s.acked {
 		at := group(key)
 		for _, a := range all {
 			writes++
-			if !f.Holds(now, at, key, a.id) {
+			if !f.Holds(at, key, a.id) {
 				s.breach(RuleLost, a.id, "acknowledged for %q, not in group %d (ran in %d)", key, at, s.rpcs[a.id].group)
 			}
 		}
--- a/internal/emulator/sockets/drivers.go
+++ b/internal/emulator/sockets/drivers.go
@@ -57,14 +57,17 @@
 	return d.log.String()
 }
 
-// FreeAddress is a loopback address that was free a moment ago.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// FreeAddresses are loopback addresses that were free a moment ago, no two alike.
+func FreeAddresses(count int) (free []string, err error) {
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		free = append(free, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return free, nil
 }
 
 // Drivers writes what so many drivers are told into files in a directory and gives them, not started. The operator's
@@ -76,11 +79,12 @@
 			"giveUpUs": m.Give.Microseconds(), "worth": m.Utility, "lateWorth": m.Late})
 		levels = append(levels, m.Level)
 	}
+	addresses, err := FreeAddresses(count)
+	if err != nil {
+		return nil, err
+	}
 	for i := range count {
-		d := &Driver{Name: fmt.Sprintf("n%d", i), program: program}
-		if d.Address, err = FreeAddress(); err != nil {
-			return nil, err
-		}
+		d := &Driver{Name: fmt.Sprintf("n%d", i), program: program, Address: addresses[i]}
 		told := map[string]any{"seed": fmt.Sprintf("%x", i+1), "known": f.List(),
 			"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 2048},
 			"settings": map[string]any{"classes": classes,
--- a/internal/emulator/sockets/members.go
+++ b/internal/emulator/sockets/members.go
@@ -195,7 +195,7 @@
 func (f *Fleet) fill(w http.ResponseWriter, r *http.Request) {
 	var asked membership.Filling
 	jsonhttp.Answer(w, r, &asked, func() (any, error) {
-		f.Model(func(now int64, model *emulator.Fleet) {
+		f.Model(func(_ int64, model *emulator.Fleet) {
 			tenant := string(asked.Tenant)
 			if uint64(asked.Epoch) <= f.fills[tenant] {
 				return
@@ -203,7 +203,7 @@
 			f.fills[tenant] = uint64(asked.Epoch)
 			switch asked.Step {
 			case "begin":
-				model.Fill(now, tenant, numbers(asked.From), numbers(asked.To))
+				model.Fill(tenant, numbers(asked.From), numbers(asked.To))
 			case "end":
 				model.EndFill(tenant, asked.Cut)
 			case "drop":
--- /dev/null
+++ b/internal/emulator/trials/moves.go
@@ -0,0 +1,465 @@
+package trials
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"sedgespread/internal/admin"
+	"sedgespread/internal/cells"
+	"sedgespread/internal/emulator"
+	"sedgespread/internal/emulator/sockets"
+	"sedgespread/internal/membership"
+)
+
+// Moves is a trial in which tenants are moved between cells again and again while they write and read, and while
+// members, drivers and the coordinator fail.
+type Moves struct {
+	Program string
+	Seed    uint64
+	Count   int // of moves that must have been done
+	Span    time.Duration
+	Faults  bool
+	Tenants int
+	Keys    int // of a tenant, each written by one client
+	Lease   time.Duration
+	Hold    time.Duration
+}
+
+const (
+	moveCells   = 3
+	moveDrivers = 3
+	pauseWrites = 60 * time.Millisecond // of one client between its RPCs
+)
+
+func (v *Moves) shape() emulator.Shape {
+	return emulator.Shape{Groups: moveCells, Members: 3, Cores: 4, Queue: 100, Service: int64(2 * time.Millisecond), Spread: 0.5,
+		Lag: int64(15 * time.Millisecond), Behind: int64(30 * time.Millisecond), Seed: v.Seed}
+}
+
+// MovesResult is what a trial of moves showed.
+type MovesResult struct {
+	Done, Undone, Asked int
+	Refused             int // moves that the coordinator did not begin
+	RPCs                map[sockets.Fate]int
+	Writes, Kept        int           // acknowledged, and those checked to be in the cell where their tenant was in the end
+	Held50, Held99      time.Duration // for which moves that were done held their tenant's writes
+	Wrote50, Wrote99    time.Duration // that served writes took
+	PushedBack          float64       // share of the writes
+	Faults              map[string]int
+	Turned              map[string]int64 // RPCs by why the gates of drivers turned them away, since their last start
+	Lapsed              int64            // call-outs and answers that gates gave up, since then
+	Breaches            []emulator.Breach
+	Unexplained         int // RPCs without an answer at drivers that had no trouble
+}
+
+// moving is a trial at work.
+type moving struct {
+	*Moves
+	n       *Night
+	at      string // of the coordinator
+	chance  *locked
+	mu      sync.Mutex
+	result  *MovesResult
+	holds   []float64 // seconds for which moves held writes
+	waits   []float64 // seconds that served writes took
+	writes  int
+	turned  int
+	stop    atomic.Bool
+	epochs  map[cells.Epoch]bool
+	journal string
+	admins  []string // by driver
+}
+
+// text is the operator's file of driver i; the first is the coordinator.
+func (v *moving) text(i int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "admin { listen: \"%s\" }\ncells {\n", v.admins[i])
+	for c := range moveCells {
+		fmt.Fprintf(&b, "  cell { name: \"c%d\" group: %d }\n", c, c+1)
+	}
+	b.WriteString("  tenancy {\n    others: \"others\"\n")
+	for t := range v.Tenants {
+		fmt.Fprintf(&b, "    rule { prefix: \"t%d/\" tenant: \"t%d\" }\n", t, t)
+	}
+	fmt.Fprintf(&b, "  }\n  budget { rpcs: 600 call_outs: 600 lend: 0.5 }\n  coordination {\n    at: \"%s\"\n    lease_ms: %d\n    hold_ms: %d\n    held: 1000\n",
+		v.at, v.Lease.Milliseconds(), v.Hold.Milliseconds())
+	if i == 0 {
+		fmt.Fprintf(&b, "    here: true\n    journal: \"%s\"\n    fill_hook: \"%s\"\n", v.journal, v.n.Fleet.FillHook())
+	}
+	b.WriteString("  }\n}\n")
+	return b.String()
+}
+
+// Run plays the trial.
+func (v *Moves) Run(ctx context.Context) (*MovesResult, error) {
+	m := &moving{Moves: v, chance: &locked{rng: rand.New(rand.NewPCG(v.Seed, 7))}, epochs: map[cells.Epoch]bool{},
+		result: &MovesResult{RPCs: map[sockets.Fate]int{}, Faults: map[string]int{}, Turned: map[string]int64{}}}
+	at, err := sockets.FreeAddresses(moveDrivers + 2)
+	if err != nil {
+		return nil, err
+	}
+	m.at, m.admins = at[0], at[1:]
+	// The coordinator's driver takes no clients, so that it can be killed for its own sake.
+	n, err := Open(ctx, v.Program, v.shape(), moveDrivers+1, func(n *Night, i int) string {
+		m.n, m.journal = n, filepath.Join(n.dir, "cells.journal")
+		return m.text(i)
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer n.Close()
+	m.n = n
+	var work, trouble sync.WaitGroup
+	troubles, calm := context.WithCancel(ctx)
+	defer calm()
+	for t := range v.Tenants {
+		for k := range v.Keys {
+			work.Add(1)
+			go func() { defer work.Done(); m.client(ctx, fmt.Sprintf("t%d/%d", t, k)) }()
+		}
+	}
+	if v.Faults {
+		for _, fault := range m.faults() {
+			trouble.Add(1)
+			go func() { defer trouble.Done(); m.trouble(troubles, fault) }()
+		}
+	}
+	err = m.move(ctx)
+	calm()
+	trouble.Wait()
+	m.stop.Store(true)
+	work.Wait()
+	if err == nil {
+		err = m.settle(ctx)
+	}
+	if err != nil {
+		logs := ""
+		for _, d := range n.Drivers {
+			logs += d.Name + ":\n" + tail(d.Log(), 12)
+		}
+		return nil, fmt.Errorf("%w\n%s", err, logs)
+	}
+	return m.finish(), nil
+}
+
+func tail(text string, lines int) string {
+	all := strings.Split(strings.TrimSpace(text), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n") + "\n"
+}
+
+// client writes and reads one key, one RPC after another, each at some driver.
+func (m *moving) client(ctx context.Context, key string) {
+	for !m.stop.Load() && ctx.Err() == nil {
+		d := m.n.Drivers[1+m.chance.intN(moveDrivers)]
+		known, position := m.n.Fleet.Known(key)
+		rpc := sockets.RPC{Method: own.Name, Key: key, Group: 1, Give: own.Give, After: position}
+		write := m.chance.intN(2) == 0
+		if write {
+			rpc = sockets.RPC{Method: move.Name, Key: key, Write: true, Group: 1, Give: move.Give}
+		}
+		begun := time.Now()
+		r := m.n.Clients.Ask(ctx, d.Address, rpc)
+		if r.Fate == sockets.Served && !write {
+			m.n.Fleet.Read(r.ID, key, r.Value, known)
+		}
+		m.count(d, r, begun, write)
+		if r.Fate == sockets.PushedBack {
+			time.Sleep(r.ComeBack)
+		}
+		time.Sleep(time.Duration(float64(pauseWrites) * (0.5 + m.chance.float())))
+	}
+}
+
+// count notes what came of an RPC. One without an answer is a breach unless its driver was in trouble meanwhile, which
+// the drivers were told by the trial itself.
+func (m *moving) count(d *sockets.Driver, r sockets.Reply, begun time.Time, write bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.result.RPCs[r.Fate]++
+	if write {
+		m.writes++
+		if r.Fate == sockets.PushedBack {
+			m.turned++
+		}
+		if r.Fate == sockets.Served {
+			m.waits = append(m.waits, r.Took.Seconds())
+		}
+	}
+	if r.Fate >= sockets.Unanswered && r.Fate != sockets.NoDriver && !d.Troubled(begun.Add(-trouble)) && !m.stop.Load() {
+		m.result.Unexplained++
+		m.n.Fleet.Unanswered(r.ID)
+	}
+}
+
+// trouble is how long a driver that was paused or killed may still leave RPCs without an answer.
+const trouble = 3 * time.Second
+
+// move asks for moves of tenants to cells at random until enough are done, some of them called off, some asked for twice
+// and some sent back while they settle.
+func (m *moving) move(ctx context.Context) error {
+	c := membership.Dial(m.at)
+	deadline := time.Now().Add(m.Span)
+	for {
+		state, err := c.State(ctx)
+		if err == nil {
+			m.watch(state)
+		}
+		m.mu.Lock()
+		done := m.result.Done
+		m.mu.Unlock()
+		switch {
+		case done >= m.Count:
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case time.Now().After(deadline):
+			return fmt.Errorf("only %d of %d moves were done in %v (%d undone)", done, m.Count, m.Span, m.result.Undone)
+		}
+		if len(movingOf(state)) < max(1, m.Tenants/2) {
+			m.ask(ctx, c)
+		}
+		if m.chance.intN(60) == 0 {
+			if under := movingOf(state); len(under) > 0 {
+				c.Abort(ctx, membership.Move{Tenant: under[m.chance.intN(len(under))].Tenant, Why: "trial"})
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func movingOf(s membership.State) (moving []cells.Entry) {
+	for _, e := range s.Entries {
+		if e.Stage != cells.Resting {
+			moving = append(moving, e)
+		}
+	}
+	return moving
+}
+
+// ask asks for a move, now and then twice at once.
+func (m *moving) ask(ctx context.Context, c membership.Coordinator) {
+	t := cells.Tenant(fmt.Sprintf("t%d", m.chance.intN(m.Tenants)))
+	times := 1 + m.chance.intN(4)/3
+	for range times {
+		to := fmt.Sprintf("c%d", m.chance.intN(moveCells))
+		err := c.Move(ctx, []membership.Move{{Tenant: t, To: to, Why: "trial"}})
+		m.mu.Lock()
+		m.result.Asked++
+		if err != nil {
+			m.result.Refused++
+		}
+		m.mu.Unlock()
+	}
+}
+
+// watch counts moves that have ended since it looked last.
+func (m *moving) watch(s membership.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range s.Entries {
+		if m.epochs[e.Epoch] {
+			continue
+		}
+		m.epochs[e.Epoch] = true
+		switch e.Stage {
+		case cells.Switched:
+			m.result.Done++
+			m.holds = append(m.holds, float64(e.At-e.Begun)/1e9)
+		case cells.Returning:
+			m.result.Undone++
+		}
+	}
+}
+
+// settle waits until no move is under way.
+func (m *moving) settle(ctx context.Context) error {
+	c := membership.Dial(m.at)
+	for deadline := time.Now().Add(m.Hold + 2*m.Lease + 10*time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		state, err := c.State(ctx)
+		if err == nil {
+			m.watch(state)
+			if len(movingOf(state)) == 0 {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("moves do not settle")
+}
+
+// finish checks what is left and sums up.
+func (m *moving) finish() *MovesResult {
+	r := m.result
+	state, _ := membership.Dial(m.at).State(context.Background())
+	groups := map[string]int64{}
+	for _, e := range state.Entries {
+		var cell int64
+		fmt.Sscanf(e.Cell, "c%d", &cell)
+		groups[string(e.Tenant)] = cell + 1
+	}
+	layout := cells.NewLayout(1)
+	for c := range moveCells {
+		layout.Add(fmt.Sprintf("c%d", c), cells.Groups{}, 1, 0, "")
+	}
+	m.n.Fleet.Model(func(_ int64, f *emulator.Fleet) {
+		r.Writes = m.n.Fleet.Settle(f, func(key string) int64 {
+			if g, moved := groups[emulator.TenantOf(key)]; moved {
+				return g
+			}
+			return int64(layout.Home(cells.Tenant(emulator.TenantOf(key)))) + 1
+		})
+	})
+	r.Breaches = m.n.Fleet.Breaches()
+	r.Kept = r.Writes
+	for _, b := range r.Breaches {
+		if b.Rule == emulator.RuleLost {
+			r.Kept--
+		}
+	}
+	r.Held50, r.Held99 = quantiles(m.holds)
+	r.Wrote50, r.Wrote99 = quantiles(m.waits)
+	for _, address := range m.admins {
+		var f cells.Figures
+		if admin.Dial(address).Ask(context.Background(), "list", admin.Wanted{}, &f) == nil {
+			for why, n := range f.Turned {
+				r.Turned[why] += n
+			}
+			r.Lapsed += f.Lapsed
+		}
+	}
+	r.PushedBack = float64(m.turned) / float64(max(1, m.writes))
+	return r
+}
+
+func quantiles(seconds []float64) (half, most time.Duration) {
+	if len(seconds) == 0 {
+		return 0, 0
+	}
+	sorted := append([]float64(nil), seconds...)
+	stat.SortWeighted(sorted, nil)
+	at := func(p float64) time.Duration {
+		return time.Duration(stat.Quantile(p, stat.Empirical, sorted, nil) * float64(time.Second))
+	}
+	return at(0.5), at(0.99)
+}
+
+// fault is a trouble with how to begin and how to end it.
+type fault struct {
+	name  string
+	every time.Duration // in the mean
+	do    func(ctx context.Context)
+}
+
+// faults are the troubles of a night of moves.
+func (m *moving) faults() []fault {
+	members := m.shape().Groups * m.shape().Members
+	driver := func() *sockets.Driver { return m.n.Drivers[1+m.chance.intN(moveDrivers)] }
+	some := func(do func(id emulator.MemberID, f *emulator.Fleet, now int64)) {
+		id := emulator.MemberID(m.chance.intN(members))
+		m.n.Fleet.Model(func(now int64, f *emulator.Fleet) { do(id, f, now) })
+	}
+	return []fault{
+		{"a driver stands still", 4 * time.Second, func(ctx context.Context) {
+			d := driver()
+			d.Pause()
+			sleep(ctx, time.Duration((0.2+2*m.chance.float())*float64(m.Lease)))
+			d.Continue()
+		}},
+		{"a driver is killed and started again", 6 * time.Second, func(ctx context.Context) {
+			d := driver()
+			d.Kill()
+			sleep(ctx, time.Duration(m.chance.float()*float64(m.Lease)))
+			d.Start(context.Background())
+		}},
+		{"the coordinator is killed and started again", 3 * time.Second, func(ctx context.Context) {
+			m.n.Drivers[0].Kill()
+			sleep(ctx, 50*time.Millisecond)
+			m.n.Drivers[0].Start(context.Background())
+		}},
+		{"a member loses its answers", 2 * time.Second, func(ctx context.Context) {
+			var id emulator.MemberID
+			some(func(at emulator.MemberID, f *emulator.Fleet, _ int64) { id = at; f.Mute(at, true) })
+			sleep(ctx, 300*time.Millisecond)
+			m.n.Fleet.Model(func(_ int64, f *emulator.Fleet) { f.Mute(id, false) })
+		}},
+		{"a member stands still", 2 * time.Second, func(ctx context.Context) {
+			some(func(at emulator.MemberID, f *emulator.Fleet, now int64) { f.Pause(at, now+int64(500*time.Millisecond)) })
+		}},
+		{"a replica lags and answers quickly", 2 * time.Second, func(ctx context.Context) {
+			var id emulator.MemberID
+			some(func(at emulator.MemberID, f *emulator.Fleet, now int64) {
+				id = at
+				f.LagBy(now, at, int64(2*time.Second))
+			})
+			sleep(ctx, time.Second)
+			m.n.Fleet.Model(func(now int64, f *emulator.Fleet) { f.LagBy(now, id, f.Shape.Lag) })
+		}},
+	}
+}
+
+// trouble brings a fault about again and again until the context ends.
+func (m *moving) trouble(ctx context.Context, f fault) {
+	for {
+		if !sleep(ctx, time.Duration(float64(f.every)*(0.5+m.chance.float()))) {
+			return
+		}
+		m.mu.Lock()
+		m.result.Faults[f.name]++
+		m.mu.Unlock()
+		f.do(ctx)
+	}
+}
+
+// sleep waits, and tells whether the context has not ended meanwhile.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// Table is what a trial showed, in Markdown.
+func (r *MovesResult) Table() string {
+	rows := [][]string{
+		{"moves asked for, refused", fmt.Sprintf("%d, %d", r.Asked, r.Refused)},
+		{"moves done, undone", fmt.Sprintf("%d, %d", r.Done, r.Undone)},
+		{"RPCs served, pushed back, aborted, no answer, connection broken, no driver", fmt.Sprintf("%d, %d, %d, %d, %d, %d",
+			r.RPCs[sockets.Served], r.RPCs[sockets.PushedBack], r.RPCs[sockets.Aborted], r.RPCs[sockets.Unanswered],
+			r.RPCs[sockets.Broken], r.RPCs[sockets.NoDriver])},
+		{"of those without an answer, at drivers in no trouble", fmt.Sprint(r.Unexplained)},
+		{"acknowledged writes, found in the last cell", fmt.Sprintf("%d, %d", r.Writes, r.Kept)},
+		{"writes held by a move that was done, p50 and p99", fmt.Sprintf("%v, %v", r.Held50.Round(time.Millisecond), r.Held99.Round(time.Millisecond))},
+		{"time of a served write, p50 and p99", fmt.Sprintf("%v, %v", r.Wrote50.Round(time.Millisecond), r.Wrote99.Round(time.Millisecond))},
+		{"share of writes pushed back", fmt.Sprintf("%.4f", r.PushedBack)},
+	}
+	for w := cells.WhyDriver; w <= cells.WhyLost; w++ {
+		rows = append(rows, []string{"turned away by gates: " + w.String(), fmt.Sprint(r.Turned[w.String()])})
+	}
+	rows = append(rows, []string{"call-outs and answers given up by gates", fmt.Sprint(r.Lapsed)})
+	count := map[string]int{}
+	for _, b := range r.Breaches {
+		count[b.Rule]++
+	}
+	for _, rule := range []string{emulator.RuleOneAnswer, emulator.RuleTwice, emulator.RuleStale, emulator.RuleLost} {
+		rows = append(rows, []string{"breaches: " + rule, fmt.Sprint(count[rule])})
+	}
+	names := make([]string, 0, len(r.Faults))
+	for name := range r.Faults {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		rows = append(rows, []string{"fault: " + name, fmt.Sprint(r.Faults[name])})
+	}
+	return table([]string{"what", "figure"}, rows)
+}
--- a/internal/emulator/trials/trials.go
+++ b/internal/emulator/trials/trials.go
@@ -34,30 +34,33 @@
 }
 
 // Open starts a night. The operator's text of a driver is empty for none.
-func Open(ctx context.Context, program string, s emulator.Shape, drivers int, text func(n *Night, i int) string) (n *Night, err error) {
-	n = &Night{}
-	defer func() {
-		if err != nil {
-			n.Close()
-		}
-	}()
-	if n.dir, err = os.MkdirTemp("", "sedgespread-trial"); err != nil {
+func Open(ctx context.Context, program string, s emulator.Shape, drivers int, text func(n *Night, i int) string) (*Night, error) {
+	n := &Night{}
+	if err := n.open(ctx, program, s, drivers, text); err != nil {
+		n.Close()
 		return nil, err
 	}
+	return n, nil
+}
+
+func (n *Night) open(ctx context.Context, program string, s emulator.Shape, drivers int, text func(n *Night, i int) string) (err error) {
+	if n.dir, err = os.MkdirTemp("", "sedgespread-trial"); err != nil {
+		return err
+	}
 	if n.Fleet, err = sockets.Start(s); err != nil {
-		return nil, err
+		return err
 	}
 	n.Clients = n.Fleet.Clients()
 	n.Drivers, err = n.Fleet.Drivers(program, n.dir, drivers, methods, func(i int) string { return text(n, i) })
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for _, d := range n.Drivers {
 		if err := d.Start(ctx); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return n, nil
+	return nil
 }
 
 // Close ends a night.
--- a/internal/program/cells.go
+++ b/internal/program/cells.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -26,6 +27,8 @@
 	journal *store.Journal
 	doors   []net.Listener
 	orders  *operator.Orders
+	leased  chan struct{} // closed once it has had a lease, if it needs one
+	once    sync.Once
 }
 
 // confine opens what the operator's file asks for. Nothing serves yet.
@@ -34,7 +37,10 @@
 	if o == nil {
 		return nil, nil
 	}
-	c = &confinement{p: p, orders: o}
+	c = &confinement{p: p, orders: o, leased: make(chan struct{})}
+	if o.Cells.GetCoordination() == nil {
+		close(c.leased)
+	}
 	defer func() {
 		if err != nil {
 			c.close()
@@ -102,12 +108,26 @@
 	}
 	if k := c.orders.Cells.GetCoordination(); k != nil {
 		incarnation := uint64(time.Now().UnixNano())
-		f := membership.NewFollower(k.At, c.p.posting.Name, incarnation, millis(k.LeaseMs), c.p.router, c.p.log)
+		f := membership.NewFollower(k.At, c.p.posting.Name, incarnation, millis(k.LeaseMs), c, c.p.log)
 		tasks.Go(func() error { f.Run(ctx); return nil })
 	}
 	return tasks.Wait()
 }
 
+// Report is what the coordinator is told.
+func (c *confinement) Report(name string, incarnation uint64) (cells.Report, int64) {
+	return c.p.router.Report(name, incarnation)
+}
+
+// ReportGrant takes what the coordinator granted. With the first lease this driver is ready to take clients.
+func (c *confinement) ReportGrant(asked int64, g cells.Grant) error {
+	err := c.p.router.ReportGrant(asked, g)
+	if err == nil {
+		c.once.Do(func() { close(c.leased) })
+	}
+	return err
+}
+
 // reload takes over the operator's file as it is now: all of it, or an error and nothing.
 func (c *confinement) reload(path string) error {
 	next, err := operator.Read(path)
@@ -120,12 +140,14 @@
 	if next.Cells == nil {
 		return nil
 	}
-	err = routing.Cells(c.p.router, func(_ int64, g *cells.Gate) error {
-		return g.Become(next.Layout(), next.Tenancy(), next.Pins(), next.Weights())
-	})
-	if err == nil && c.chair != nil {
+	if c.chair != nil { // which knows all that this driver's gate does
 		err = c.chair.Become(next.Layout(), next.Pins())
 	}
+	if err == nil {
+		err = routing.Cells(c.p.router, func(_ int64, g *cells.Gate) error {
+			return g.Become(next.Layout(), next.Tenancy(), next.Pins(), next.Weights())
+		})
+	}
 	if err != nil {
 		return next.Reject("cells", err)
 	}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -64,12 +64,22 @@
 
 // emptyQuery is answered once this driver is ready.
 func (p *Program) emptyQuery(c protocol.Client) transport.End {
-	select {
-	case <-p.ready.reached:
-		return c.Empty()
-	case <-c.Context().Done():
-		return c.End()
+	for _, reached := range []<-chan struct{}{p.ready.reached, p.leased()} {
+		select {
+		case <-reached:
+		case <-c.Context().Done():
+			return c.End()
+		}
+	}
+	return c.Empty()
+}
+
+// leased is closed once this driver knows where its tenants are, at once where the file says so.
+func (p *Program) leased() <-chan struct{} {
+	if p.confined == nil {
+		return p.ready.reached
 	}
+	return p.confined.leased
 }
 
 // rpc does what the router picks for an RPC until it has its answer.
--- a/internal/routing/confine.go
+++ b/internal/routing/confine.go
@@ -160,9 +160,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	if now-r.looked >= lookEvery {
+		r.looked = now
+		for _, g := range r.gate.Targets() {
+			r.driver.Look(g)
+		}
+	}
 	return r.gate.Report(now, name, incarnation, r.driver.Reached), now
 }
 
+// lookEvery is how often the members are probed that a move waits for.
+const lookEvery = 25 * milli
+
 // Cells gives what a function makes of the gate, which must not be kept.
 func Cells[T any](r *Router, of func(now int64, g *cells.Gate) T) T {
 	r.mu.Lock()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -36,6 +36,7 @@
 	stirred  chan struct{} // a timer or a duty has been added
 	log      logrus.FieldLogger
 	gate     *cells.Gate // nil where tenants have no cells
+	looked   int64       // when members were last probed for a move
 }
 
 // New reads what the module is told at its start. The list is the one last known.
--- a/rules/state.go
+++ b/rules/state.go
@@ -167,6 +167,17 @@
 	return true
 }
 
+// Look probes a group's members, for somebody who waits until they are Reached.
+func (d *Driver) Look(id GroupID) {
+	if g := d.groups[id]; g != nil && d.allowed.Probes {
+		for _, m := range g.members {
+			if d.state[m] == Healthy {
+				d.probe(m)
+			}
+		}
+	}
+}
+
 // drop gives a member's place back. Nothing may be out for it.
 func (d *Driver) drop(m member) {
 	g := d.of[m]
