--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -79,7 +79,7 @@
 // unreadable makes a fault of what prototext found.
 func (o *Orders) unreadable(err error) *Fault {
 	text := strings.TrimPrefix(strings.ReplaceAll(err.Error(), "\u00a0", " "), "proto: ")
-	text = strings.TrimPrefix(text, "syntax error ")
+	text = strings.Join(strings.Fields(strings.TrimPrefix(text, "syntax error ")), " ")
 	f := &Fault{Path: o.path, Reason: text}
 	if at := position.FindStringSubmatchIndex(text); at != nil {
 		f.Line, _ = strconv.Atoi(text[at[2]:at[3]])
@@ -114,25 +114,29 @@
 }
 
 func (l lines) add(above string, nodes []*ast.Node) {
-	count := map[string]int{}
+	count, all := map[string]int{}, map[string]int{}
+	for _, n := range nodes {
+		all[n.Name]++
+	}
 	for _, n := range nodes {
 		if n.Name == "" {
 			continue
 		}
 		path := above + n.Name
 		line := int(n.Start.Line) + len(n.PreComments)
-		numbered := fmt.Sprintf("%s[%d]", path, count[n.Name])
-		count[n.Name]++
-		l.at[numbered] = line
-		if _, known := l.at[path]; !known {
-			l.at[path] = line
+		names := []string{fmt.Sprintf("%s[%d]", path, count[n.Name])}
+		switch count[n.Name]++; {
+		case all[n.Name] == 1: // whether it may stand more than once is not known here
+			names = []string{path, names[0]}
+		case count[n.Name] == 1:
+			names = append(names, path)
 		}
 		if _, known := l.first[line]; !known {
-			l.first[line] = path
+			l.first[line] = names[0]
 		}
-		l.add(numbered+".", n.Children)
-		if count[n.Name] == 1 {
-			l.add(path+".", n.Children)
+		for _, name := range names {
+			l.at[name] = line
+			l.add(name+".", n.Children)
 		}
 	}
 }
--- /dev/null
+++ b/internal/operator/file_test.go
@@ -0,0 +1,113 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const whole = `admin { listen: "127.0.0.1:7400" }
+cells {
+  cell { name: "a" group: [1, 2] }
+  cell {
+    name: "b"
+    # behind the other hall
+    group: 3
+    hall: "turin"
+  }
+  tenancy {
+    rule { prefix: "x/" tenant: "x" }
+    others: "rest"
+  }
+  tenant { name: "x" cell: "b" hall: "turin" }
+  budget { rpcs: 10 call_outs: 10 lend: 0.5 }
+  coordination {
+    at: "127.0.0.1:7410"
+    lease_ms: 1000
+    hold_ms: 500
+    held: 10
+  }
+}
+`
+
+// Guards against files that say what nobody meant: each fault is told with its line and field, and the file counts for
+// nothing.
+func TestFaults(t *testing.T) {
+	_, err := Parse("f", []byte(whole))
+	require.NoError(t, err)
+	for _, c := range []struct{ old, new, says string }{
+		{`hall: "turin"`, `halls: "turin"`, "f:8: cells.cell[1].halls: unknown field: halls"},
+		{`group: 3`, `group: "three"`, "f:7: cells.cell[1].group: invalid value for int64"},
+		{`held: 10`, `held: -10`, "f:20: cells.coordination.held: invalid value for uint32"},
+		{`others: "rest"`, `others: "rest" others: "all"`, `f:12: cells.tenancy.others[0]: non-repeated field "others" is repeated`},
+		{`name: "b"`, `name: "a"`, `f:5: cells.cell[1].name: "a" stands twice`},
+		{`name: "b"`, ``, `f:4: cells.cell[1].name: is missing`},
+		{`group: 3`, `group: 2`, `f:7: cells.cell[1].group[0]: group 2 stands in cell "a" already`},
+		{`group: 3`, `group: -3`, `f:7: cells.cell[1].group[0]: -3 is out of range`},
+		{`group: 3`, ``, `f:4: cells.cell[1].group: cell "b" has none`},
+		{`group: 3`, `group: 3 weight: -1`, `f:7: cells.cell[1].weight: -1 is out of range`},
+		{`group: 3`, `group: 3 weight: nan`, `f:7: cells.cell[1].weight: NaN is out of range`},
+		{`hall: "turin"`, `capacity: inf`, `f:8: cells.cell[1].capacity: +Inf is out of range`},
+		{`group: [1, 2]`, `group: [1, 2] weight: 0 } cell { name: "c" group: 9 weight: 0 } cell { name: "d" group: 10`, ""},
+		{`others: "rest"`, ``, `f:10: cells.tenancy.others: is missing`},
+		{`prefix: "x/"`, `prefix: "x/" user: "u"`, `f:11: cells.tenancy.rule[0]: 2 of prefix, user and database are given`},
+		{`prefix: "x/"`, ``, `f:11: cells.tenancy.rule[0]: 0 of prefix, user and database are given`},
+		{`others: "rest"`, `others: "rest" rule { prefix: "x/" tenant: "y" }`, `f:12: cells.tenancy.rule[1]: prefix x/ stands twice`},
+		{`others: "rest"`, `others: "rest" rule { prefix: "y/" }`, `f:12: cells.tenancy.rule[1].tenant: is missing`},
+		{`others: "rest"`, `others: "rest" own: 7`, `f:12: cells.tenancy.own: 7 is none of the values`},
+		{`cell: "b" hall: "turin"`, `cell: "z"`, `f:14: cells.tenant[0].cell: there is no cell "z"`},
+		{`cell: "b" hall: "turin"`, `hall: "rome"`, `f:14: cells.tenant[0].hall: no cell stands in hall "rome"`},
+		{`cell: "b" hall: "turin"`, `cell: "a" hall: "turin"`, `f:14: cells.tenant[0].hall: cell "a" stands in hall ""`},
+		{`cell: "b" hall: "turin"`, `} tenant { name: "x"`, `f:14: cells.tenant[1].name: "x" stands twice`},
+		{`cell: "b" hall: "turin"`, `weight: 0`, `f:14: cells.tenant[0].weight: 0 is out of range`},
+		{`rpcs: 10`, `rpcs: 1`, `f:15: cells.budget.rpcs: 1 is less than one for each of 2 cells`},
+		{`call_outs: 10`, ``, `f:15: cells.budget.call_outs: 0 is less than one`},
+		{`lend: 0.5`, `lend: 1.5`, `f:15: cells.budget.lend: 1.5 is not from 0 to 1`},
+		{`at: "127.0.0.1:7410"`, ``, `f:16: cells.coordination.at: is missing`},
+		{`at: "127.0.0.1:7410"`, `at: "10.0.0.1:7410"`, `f:17: cells.coordination.at: "10.0.0.1:7410" is not a loopback address`},
+		{`at: "127.0.0.1:7410"`, `at: "here"`, `f:17: cells.coordination.at: "here" is not an address and a port`},
+		{`listen: "127.0.0.1:7400"`, `listen: "0.0.0.0:7400"`, `f:1: admin.listen: "0.0.0.0:7400" is not a loopback address`},
+		{`lease_ms: 1000`, `lease_ms: 100`, `f:18: cells.coordination.lease_ms: 100 is not from 200 to 300000`},
+		{`held: 10`, `here: true held: 10`, `f:16: cells.coordination.journal: is missing`},
+		{`held: 10`, `journal: "j" held: 10`, `f:20: cells.coordination.journal: is given`},
+		{`held: 10`, `fill_hook: "http://example.org/x" held: 10`, `f:20: cells.coordination.fill_hook: "http://example.org/x" is not on a loopback address`},
+		{`held: 10`, `fill_hook: "file:///x" held: 10`, `is not an http address`},
+		{`cells {`, `cells {{`, "f:2"},
+	} {
+		require.Contains(t, whole, c.old)
+		_, err := Parse("f", []byte(strings.Replace(whole, c.old, c.new, 1)))
+		if c.says == "" {
+			require.NoError(t, err, c.new)
+			continue
+		}
+		require.Error(t, err, "%s: %s", c.new, c.says)
+		require.Contains(t, err.Error(), c.says)
+		require.NotContains(t, err.Error(), "\n", "one line")
+	}
+}
+
+func TestReading(t *testing.T) {
+	_, err := Read(filepath.Join(t.TempDir(), "none"))
+	require.ErrorContains(t, err, "none: ")
+	o, err := Read("../../deploy/operator.textproto")
+	require.NoError(t, err, "the example is good")
+	require.NotEmpty(t, o.Summary())
+	empty := filepath.Join(t.TempDir(), "empty")
+	require.NoError(t, os.WriteFile(empty, nil, 0o600))
+	o, err = Read(empty)
+	require.NoError(t, err)
+	require.Nil(t, o.Cells)
+}
+
+func FuzzFile(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if o, err := Parse("f", text); err == nil && o.Cells != nil {
+			o.Gate()
+			o.Rooms()
+		}
+	})
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -47,9 +47,10 @@
 }
 
 const (
-	tolerance  = 0.01 // a worst load within this of the best found is as good, if it needs fewer moves
-	targets    = 48   // worst loads tried between the bound and what there is
-	fewTenants = 18   // so many can be placed by branch and bound
+	tolerance  = 0.01  // a worst load within this of the best found is as good, if it needs fewer moves
+	worthwhile = 0.001 // a step of polishing lowers the worst load by this part at least
+	targets    = 48    // worst loads tried between the bound and what there is
+	fewTenants = 18    // so many can be placed by branch and bound
 	mostNodes  = 1 << 20
 )
 
@@ -60,12 +61,15 @@
 		most = len(tenants)
 	}
 	bound := w.bound()
-	best := w.present()
+	best, first := w.present(), 0.0 // the lowest target that could be met
 	for i := 0; i < targets; i++ {
 		t := bound * math.Pow(max(1, w.worst(best)/bound), float64(i)/targets)
+		if first > 0 && t > first*(1+tolerance) {
+			break
+		}
 		if place := w.within(t, most); place != nil {
 			best = w.better(best, place)
-			break
+			first = cmp.Or(first, t)
 		}
 	}
 	best = w.polish(best, most)
@@ -157,11 +161,10 @@
 	bound := 0.0
 	for t, tenant := range w.tenants {
 		sum += tenant.Load
-		if tenant.Hall != "" {
-			halls[tenant.Hall] += tenant.Load
-		}
 		if tenant.Stay && tenant.At != Nowhere {
 			stays[tenant.At] += tenant.Load
+		} else if tenant.Hall != "" {
+			halls[tenant.Hall] += tenant.Load
 		}
 		best := 0.0
 		for c := range w.cells {
@@ -377,7 +380,7 @@
 
 func (w *work) bestStep(from int, place []int, loads []float64) step {
 	worst := loads[from] / w.cells[from].Able
-	best, least := step{Nowhere, Nowhere, Nowhere}, worst*(1-1e-9)
+	best, least := step{Nowhere, Nowhere, Nowhere}, worst*(1-worthwhile)
 	members := make([][]int, len(w.cells))
 	for _, t := range w.order {
 		if c := place[t]; c != Nowhere && len(members[c]) < widest && !w.tenants[t].Stay {
