--- /dev/null
+++ b/internal/emulator/trials/trials_test.go
@@ -0,0 +1,43 @@
+package trials
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func built(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "sedgespread")
+	out, err := exec.Command("go", "build", "-o", program, "sedgespread/cmd/sedgespread").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return program
+}
+
+// A flood into one cell in short: the others keep what they have without it, and without cells they do not. The figures
+// of a long one are in docs/results/cells.
+func TestAFloodIsContained(t *testing.T) {
+	f := Flood{Program: built(t), Seed: 1, Span: 2 * time.Second, Cells: 4, Drivers: 2, Factor: 5, Usual: 0.25, Tenants: 20}
+	r, err := f.Run(context.Background())
+	require.NoError(t, err)
+	t.Log("\n" + r.Table)
+	require.Greater(t, r.Kept, 0.95)
+	require.Greater(t, r.Within, 0.5)
+	require.Less(t, r.KeptOff, 0.9, "without cells the flood is everybody's")
+}
+
+// A few moves under writes and faults: no rule is broken.
+func TestMovesUnderFaults(t *testing.T) {
+	v := Moves{Program: built(t), Seed: 3, Count: 25, Span: time.Minute, Faults: true, Tenants: 6, Keys: 3, Lease: 600 * time.Millisecond,
+		Hold: 1500 * time.Millisecond}
+	r, err := v.Run(context.Background())
+	require.NoError(t, err)
+	t.Log("\n" + r.Table())
+	require.Empty(t, r.Breaches)
+	require.GreaterOrEqual(t, r.Done, 25)
+	require.Greater(t, r.Writes, 100)
+	require.Equal(t, r.Writes, r.Kept)
+}
--- a/internal/routing/confine.go
+++ b/internal/routing/confine.go
@@ -71,8 +71,9 @@
 	}
 	n := len(t.calls)
 	t.calls = append(t.calls, call{})
+	risky := t.out > 0
 	t.out++
-	t.forsake()
+	t.forsake(risky)
 	r.timers.add(r.now(), func() {
 		t.calls[n].next = nil
 		t.out--
@@ -83,17 +84,14 @@
 	return false
 }
 
-// forsake ends an RPC that nothing more may be done for: it is pushed back where trying again is harmless, and else
-// aborted. The lock is held.
-func (t *Trip) forsake() {
-	s := Step{Act: PushBack}
-	if t.out > 0 || t.pass.risky {
-		s.Act = Abort
-	}
-	if !t.pass.ticket.Write {
-		s.Act = PushBack
+// forsake ends an RPC that nothing more may be done for: it is pushed back where trying again is harmless, which it is
+// not of a write that may have run, and else aborted. The lock is held.
+func (t *Trip) forsake(risky bool) {
+	if t.pass.ticket.Write && (risky || t.pass.risky) {
+		t.finish(Step{Act: Abort})
+		return
 	}
-	t.finish(s)
+	t.finish(Step{Act: PushBack})
 }
 
 // returned tells the gate how a call-out ended. An answer that comes when the lease has run out, or its tenant has been
@@ -109,8 +107,7 @@
 	}
 	r.gate.Returned(t.pass.ticket, until, bytes, r.now())
 	if v.proof == rules.OK && !t.ended && !r.gate.May(t.pass.ticket, r.now()) {
-		t.pass.risky = true
-		t.forsake()
+		t.forsake(true)
 	}
 }
 
--- /dev/null
+++ b/internal/routing/confine_test.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/cells"
+	"sedgespread/internal/transport"
+	"sedgespread/rules"
+)
+
+// confined gives a router whose tenants have cells: t is in the first, which is group 1, until it is moved.
+func confined(t testing.TB, leased bool) *Router {
+	r := begin(t, "a", "b")
+	l := cells.NewLayout(1)
+	l.Add("one", cells.Groups{1}, 1, 0, "")
+	l.Add("two", cells.Groups{2}, 0, 0, "")
+	y := cells.NewTenancy(nil, nil, nil, cells.OwnNobody, "t")
+	limits := cells.NewLimits(cells.Amounts{cells.RPCs: 100, cells.CallOuts: 100}, 0.5, l, nil)
+	r.Confine(cells.NewGate(cells.NewBook(l, nil), y, limits, leased, 2))
+	for _, name := range []string{"a", "b"} {
+		id, _ := r.Member(name)
+		r.mu.Lock()
+		r.driver.Told([]rules.News{{Member: id, Sighting: rules.Sighting{Role: map[string]rules.Role{"a": rules.RolePrimary, "b": rules.RoleReplica}[name],
+			Position: r.now()}}})
+		r.mu.Unlock()
+	}
+	return r
+}
+
+var asked int
+
+func admit(t *testing.T, r *Router, method string) *Trip {
+	asked++
+	trip, err := r.Admit(&Call{ID: fmt.Sprint(asked), Method: method, Key: "k", Write: method == "write", Group: 77, Left: 2000 * milli})
+	require.NoError(t, err)
+	return trip
+}
+
+func grant(t *testing.T, r *Router, lease time.Duration, e ...cells.Entry) {
+	g := cells.Grant{Lease: int64(lease), Entries: e}
+	for _, n := range e {
+		g.Newest = max(g.Newest, n.Epoch)
+	}
+	require.NoError(t, r.ReportGrant(r.now(), g))
+}
+
+// pick waits for a trip's next step while what falls due is done.
+func pick(t *testing.T, trip *Trip) Step {
+	for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(time.Millisecond) {
+		select {
+		case s := <-trip.steps:
+			return s
+		default:
+			trip.r.turn()
+		}
+	}
+	require.Fail(t, "no step comes")
+	return Step{}
+}
+
+// Guards against RPCs that are lost between the gate and the module.
+func TestAnRPCPassesItsCell(t *testing.T) {
+	r := confined(t, false)
+	trip := admit(t, r, "write")
+	step := pick(t, trip)
+	require.Equal(t, CallOut, step.Act, "the group is the cell's, not the client's")
+	trip.Report(step.Number, ok(r.now()/milli, true))
+	require.Equal(t, Serve, pick(t, trip).Act)
+	figures := func() cells.Figures {
+		return Cells(r, func(now int64, g *cells.Gate) cells.Figures { return g.Figures(now, 5) })
+	}
+	require.Equal(t, 1, figures().Tenants, "until its answer is passed on")
+	trip.Passed()
+	require.Zero(t, figures().Cells[0].RPCs+figures().Cells[0].CallOuts)
+	left := admit(t, r, "write")
+	pick(t, left)
+	left.Leave()
+	require.Equal(t, Drop, pick(t, left).Act)
+}
+
+// Guards against a driver that does not know where its tenant is: RPCs are pushed back before a call-out; after one, a
+// read is, and a write that may have run is aborted, whatever its answer says.
+func TestARunOutLeaseBinds(t *testing.T) {
+	r := confined(t, true)
+	require.Equal(t, PushBack, pick(t, admit(t, r, "write")).Act)
+	grant(t, r, 150*time.Millisecond)
+	write, read, quick := admit(t, r, "write"), admit(t, r, "read"), admit(t, r, "write")
+	w, d, q := pick(t, write), pick(t, read), pick(t, quick)
+	quick.Report(q.Number, ok(r.now()/milli, true))
+	require.Equal(t, Serve, pick(t, quick).Act)
+	time.Sleep(200 * time.Millisecond)
+	write.Report(w.Number, ok(r.now()/milli, true))
+	require.Equal(t, Abort, pick(t, write).Act, "it ran, and its tenant may be elsewhere")
+	read.Report(d.Number, ok(r.now()/milli, true))
+	require.Equal(t, PushBack, pick(t, read).Act)
+}
+
+// Guards against a second call-out in the old cell once its tenant is in the new one.
+func TestNoCallOutAfterTheSwitch(t *testing.T) {
+	r := confined(t, true)
+	grant(t, r, time.Minute)
+	trip := admit(t, r, "write")
+	step := pick(t, trip)
+	grant(t, r, time.Minute, cells.Entry{Epoch: 9, Tenant: "t", Cell: "two", Stage: cells.Resting, Floor: 5})
+	trip.Report(step.Number, Outcome{End: transport.DialRefused}) // it never ran, and would be sent again
+	require.Equal(t, PushBack, pick(t, trip).Act)
+	r.turn()
+	require.Empty(t, r.trips)
+}
+
+// Held RPCs go on in the new cell, or are pushed back while their clients can ask again.
+func TestHeldForAMove(t *testing.T) {
+	r := confined(t, true)
+	grant(t, r, time.Minute, cells.Entry{Epoch: 1, Tenant: "t", Cell: "one", Stage: cells.Holding, To: "two"})
+	held, gone, over := admit(t, r, "write"), admit(t, r, "write"), admit(t, r, "write")
+	require.Equal(t, PushBack, pick(t, over).Act, "no more than may be held")
+	require.Equal(t, CallOut, pick(t, admit(t, r, "read")).Act, "reads go on")
+	gone.Leave()
+	require.Equal(t, Drop, pick(t, gone).Act)
+	report, _ := r.Report("n", 1)
+	require.Zero(t, report.Moves[0].Writes, "those that are held are not in flight")
+	grant(t, r, time.Minute, cells.Entry{Epoch: 2, Tenant: "t", Cell: "one", Stage: cells.Returning, To: "two"})
+	require.Equal(t, CallOut, pick(t, held).Act, "the move was called off")
+	grant(t, r, time.Minute, cells.Entry{Epoch: 3, Tenant: "t", Cell: "one", Stage: cells.Closing, To: "two"})
+	asked++
+	short, err := r.Admit(&Call{ID: fmt.Sprint(asked), Method: "read", Key: "k", Left: 50 * milli})
+	require.NoError(t, err)
+	require.Equal(t, PushBack, pick(t, short).Act)
+}
+
+// A floor keeps reads from members behind it, the primary included.
+func TestAFloorBinds(t *testing.T) {
+	r := confined(t, true)
+	grant(t, r, time.Minute, cells.Entry{Epoch: 1, Tenant: "t", Cell: "one", Stage: cells.Resting, Floor: math.MaxInt64 / 2})
+	trip := admit(t, r, "read")
+	select {
+	case s := <-trip.steps:
+		require.NotEqual(t, CallOut, s.Act)
+	case <-time.After(20 * time.Millisecond):
+	}
+	trip.Leave()
+}
+
+// Cost of the ordinary path: `make results-cost` keeps the figures.
+func BenchmarkRouting(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(map[bool]string{false: "cells off", true: "cells on"}[on], func(b *testing.B) {
+			r := confined(b, false)
+			if !on {
+				r.gate = nil
+			}
+			names := make([]string, b.N)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				trip, err := r.Admit(&Call{ID: names[i], Method: "write", Key: "club/7", Write: true, Group: 1, Left: 2000 * milli})
+				if err != nil {
+					b.Fatal(err)
+				}
+				step := trip.Pick()
+				trip.Report(step.Number, ok(r.now()/milli, true))
+				trip.Pick()
+				trip.Passed()
+				for r.timers.Len() > 1000 {
+					r.timers.due(math.MaxInt64)
+				}
+				r.duties = r.duties[:0]
+			}
+		})
+	}
+}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -58,7 +58,7 @@
 }
 
 // begin gives a router that knows members a and b of group 1.
-func begin(t *testing.T, names ...string) *Router {
+func begin(t testing.TB, names ...string) *Router {
 	told := briefing.Flatten("settings", map[string]any{
 		"classes": []any{
 			map[string]any{"name": "read", "effect": "repeatable", "aimUs": 200_000, "giveUpUs": 2_000_000},
