--- a/cmd/sedgespread/cells.go
+++ b/cmd/sedgespread/cells.go
@@ -51,10 +51,10 @@
 // Run lists cells.
 func (cellsList) Run(c *commands) error {
 	return ask(c, "list", admin.Wanted{}, func(out *tabwriter.Writer, f *cells.Figures) {
-		fmt.Fprintln(out, "CELL\tHALL\tGROUPS\tWEIGHT\tRPCS\tSHARE\tLIMIT\tPACE\tCALL-OUTS\tTENANTS\tTOOK")
+		fmt.Fprintln(out, "CELL\tHALL\tGROUPS\tWEIGHT\tRPCS\tSHARE\tLIMIT\tPACE\tCALL-OUTS\tCLIENTS\tTENANTS\tTOOK")
 		for _, k := range f.Cells {
-			fmt.Fprintf(out, "%s\t%s\t%v\t%g\t%d\t%d\t%d\t%.0f\t%d\t%d\t%v\n", k.Name, k.Hall, k.Groups, k.Weight, k.RPCs, k.Share,
-				k.Limit, k.Pace, k.CallOuts, k.Crowd, time.Duration(k.Took).Round(time.Millisecond/10))
+			fmt.Fprintf(out, "%s\t%s\t%v\t%g\t%d\t%d\t%d\t%.0f\t%d\t%d\t%d\t%v\n", k.Name, k.Hall, k.Groups, k.Weight, k.RPCs, k.Share,
+				k.Limit, k.Pace, k.CallOuts, k.Sockets, k.Crowd, time.Duration(k.Took).Round(time.Millisecond/10))
 		}
 		fmt.Fprintf(out, "\nepoch %d, lease %s, held %d, turned away:", f.Epoch, lease(f.Lease), f.Held)
 		for w := cells.WhyDriver; w <= cells.WhyLost; w++ {
--- a/cmd/sedgespread/emulate.go
+++ b/cmd/sedgespread/emulate.go
@@ -13,6 +13,7 @@
 )
 
 type emulate struct {
+	Demo  emulateDemo  `cmd:"" help:"Start a small fleet with drivers before it and clients at work, to look at."`
 	Flood emulateFlood `cmd:"" help:"Flood one cell and see how the others fare, with cells and without."`
 	Moves emulateMoves `cmd:"" help:"Move tenants between cells while they write and read and while much fails."`
 }
@@ -25,6 +26,22 @@
 // place says on what a figure was made.
 func place() string { return fmt.Sprintf("emulated fleet on loopback, %d cores", runtime.NumCPU()) }
 
+type emulateDemo struct {
+	Admin string `default:"127.0.0.1:7400" help:"Where the first driver answers commands."`
+}
+
+// Run shows a fleet until it is interrupted.
+func (d emulateDemo) Run() error {
+	ctx, stop := interrupted()
+	defer stop()
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	demo := trials.Demo{Program: program, Admin: d.Admin, Out: os.Stdout}
+	return demo.Run(ctx)
+}
+
 type emulateFlood struct {
 	Seed    uint64        `default:"1" help:"Of all that is drawn."`
 	Span    time.Duration `default:"5s" help:"How long each of the four nights lasts."`
--- a/internal/cells/bulkheads.go
+++ b/internal/cells/bulkheads.go
@@ -7,6 +7,7 @@
 	RPCs     Kind = iota // open, those held included
 	CallOuts             // out, those whose RPC has ended included
 	Answers              // bytes of answers held at once
+	Sockets              // of clients, by the cell of their last RPC
 	kinds
 )
 
@@ -108,3 +109,17 @@
 	b.used[k][c] += more
 	b.sum[k] += more
 }
+
+// Over is the cell that is most over its share of something, as a part of that, or NoCell where none is.
+func (b *Bulkheads) Over(k Kind) Cell {
+	over, most := NoCell, 1.0
+	if b.all[k] == 0 {
+		return over
+	}
+	for c := range b.shares[k] {
+		if by := float64(b.used[k][c]) / float64(b.Share(k, Cell(c))); by > most {
+			over, most = Cell(c), by
+		}
+	}
+	return over
+}
--- a/internal/cells/gate.go
+++ b/internal/cells/gate.go
@@ -237,6 +237,36 @@
 	}
 }
 
+// Cell is the cell that an RPC was let into, NoCell for one that was not.
+func (t *Ticket) Cell() Cell {
+	if !t.let {
+		return NoCell
+	}
+	return t.seat.Cell
+}
+
+// Seat notes that a client's connection counts for another cell than before, NoCell for none.
+func (g *Gate) Seat(from, to Cell) {
+	if g.limits == nil || from == to {
+		return
+	}
+	if from != NoCell {
+		g.limits.heads.Use(Sockets, from, -1)
+	}
+	if to != NoCell {
+		g.limits.heads.Use(Sockets, to, 1)
+	}
+}
+
+// Crowded is the cell whose clients have to go first where connections are short, NoCell for no matter which. Guards
+// the clients of other cells against one cell's that hold connections by hundreds.
+func (g *Gate) Crowded() Cell {
+	if g.limits == nil {
+		return NoCell
+	}
+	return g.limits.heads.Over(Sockets)
+}
+
 // Settle notes that an RPC has ended and nothing is out for it; what it held of an answer has been passed on.
 func (g *Gate) Settle(t *Ticket, now int64) {
 	p := g.tenants[t.Tenant]
@@ -403,6 +433,7 @@
 	Pace     float64 `json:"pace"`
 	CallOuts int64   `json:"call_outs"`
 	Answers  int64   `json:"answer_bytes"`
+	Sockets  int64   `json:"client_sockets"`
 	Took     int64   `json:"took_ns"`
 	Crowd    int     `json:"tenants"`
 }
@@ -421,7 +452,8 @@
 		figures := CellFigures{Name: name, Groups: g.layout.groups[c], Weight: g.layout.weight[c], Hall: g.layout.hall[c]}
 		if m := g.limits; m != nil {
 			at := Cell(c)
-			figures.RPCs, figures.CallOuts, figures.Answers = m.heads.Used(RPCs, at), m.heads.Used(CallOuts, at), m.heads.Used(Answers, at)
+			figures.RPCs, figures.CallOuts = m.heads.Used(RPCs, at), m.heads.Used(CallOuts, at)
+			figures.Answers, figures.Sockets = m.heads.Used(Answers, at), m.heads.Used(Sockets, at)
 			figures.Share, figures.Limit, figures.Pace = m.heads.Share(RPCs, at), m.room(at, now), m.pace[c]
 			figures.Took, figures.Crowd = int64(m.took[c]), len(m.shares.cells[c].present)
 		}
--- a/internal/cells/limits_test.go
+++ b/internal/cells/limits_test.go
@@ -181,6 +181,33 @@
 	require.Zero(t, tk.presence.used)
 }
 
+// Guards the clients of other cells against one cell's that hold connections by hundreds.
+func TestWhoseClientsGoFirst(t *testing.T) {
+	l := layoutOf(1, 1, 1, 3)
+	m := NewLimits(Amounts{RPCs: 10, CallOuts: 10, Sockets: 40}, 0, l, nil) // 10 and 30
+	g := NewGate(NewBook(l, nil), NewTenancy(nil, nil, nil, OwnNobody, "t"), m, false, 1)
+	seat := func(c Cell, n int) {
+		for range n {
+			g.Seat(NoCell, c)
+		}
+	}
+	seat(0, 10)
+	seat(1, 30)
+	require.Equal(t, NoCell, g.Crowded(), "each has its share")
+	seat(1, 3)
+	require.Equal(t, Cell(1), g.Crowded())
+	seat(0, 5)
+	require.Equal(t, Cell(0), g.Crowded())
+	for range 6 {
+		g.Seat(0, 1)
+	}
+	require.Equal(t, Cell(1), g.Crowded())
+	for range 10 {
+		g.Seat(1, NoCell)
+	}
+	require.Equal(t, NoCell, g.Crowded())
+}
+
 // Whatever comes, all that is used is given back, and no cell below its share is turned away while there is room.
 func TestLimitsBalance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/emulator/sockets/drivers.go
+++ b/internal/emulator/sockets/drivers.go
@@ -160,8 +160,8 @@
 	return fmt.Errorf("driver %s is not ready: %s", d.Name, strings.TrimSpace(d.Log()))
 }
 
-// signal sends a signal to a driver that runs.
-func (d *Driver) signal(s syscall.Signal) error {
+// Signal sends a signal to a driver that runs.
+func (d *Driver) Signal(s syscall.Signal) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.troubled = time.Now()
@@ -172,20 +172,33 @@
 }
 
 // Pause lets a driver stand still.
-func (d *Driver) Pause() error { return d.signal(syscall.SIGSTOP) }
+func (d *Driver) Pause() error { return d.Signal(syscall.SIGSTOP) }
 
 // Continue lets a driver that stands still go on.
-func (d *Driver) Continue() error { return d.signal(syscall.SIGCONT) }
+func (d *Driver) Continue() error { return d.Signal(syscall.SIGCONT) }
 
 // Kill ends a driver at once, and waits until it is gone.
 func (d *Driver) Kill() error {
-	err := d.signal(syscall.SIGKILL)
+	err := d.Signal(syscall.SIGKILL)
 	if err == nil {
 		<-d.done
 	}
 	return err
 }
 
+// Hup lets a driver read its files again.
+func (d *Driver) Hup() error { return d.Signal(syscall.SIGHUP) }
+
+// Runs tells whether a driver was started and has not ended.
+func (d *Driver) Runs() bool {
+	select {
+	case <-d.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // Troubled tells whether a driver was paused, continued, killed or started again since a time.
 func (d *Driver) Troubled(since time.Time) bool {
 	d.mu.Lock()
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -273,13 +273,15 @@
 	return weights
 }
 
-// Limits are the limits that the file's budget makes, nil where it has none.
-func (o *Orders) Limits(l *cells.Layout) *cells.Limits {
+// Limits are the limits that the file's budget makes, nil where it has none. So many connections of clients may wait at
+// this driver.
+func (o *Orders) Limits(l *cells.Layout, sockets int) *cells.Limits {
 	b := o.Cells.Budget
 	if b == nil {
 		return nil
 	}
-	all := cells.Amounts{cells.RPCs: int64(b.Rpcs), cells.CallOuts: int64(b.CallOuts), cells.Answers: int64(b.AnswerKib) << 10}
+	all := cells.Amounts{cells.RPCs: int64(b.Rpcs), cells.CallOuts: int64(b.CallOuts), cells.Answers: int64(b.AnswerKib) << 10,
+		cells.Sockets: int64(sockets)}
 	return cells.NewLimits(all, b.Lend, l, o.Weights())
 }
 
@@ -293,11 +295,11 @@
 	return cells.NewBook(l, pins)
 }
 
-// Gate is what a driver confines tenants by.
-func (o *Orders) Gate() *cells.Gate {
+// Gate is what a driver confines tenants by, at which so many connections of clients may wait.
+func (o *Orders) Gate(sockets int) *cells.Gate {
 	b := o.Book()
 	held := int(o.Cells.GetCoordination().GetHeld())
-	return cells.NewGate(b, o.Tenancy(), o.Limits(b.Layout()), o.Cells.Coordination != nil, held)
+	return cells.NewGate(b, o.Tenancy(), o.Limits(b.Layout(), sockets), o.Cells.Coordination != nil, held)
 }
 
 // Rooms are the cells for the planner, in the file's order.
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -74,7 +75,7 @@
 }
 
 // position is how prototext says where it stopped.
-var position = regexp.MustCompile(`\(line (\d+):\d+\): ?`)
+var position = regexp.MustCompile(`\(line (\d+):(\d+)\): ?`)
 
 // unreadable makes a fault of what prototext found.
 func (o *Orders) unreadable(err error) *Fault {
@@ -84,7 +85,8 @@
 	if at := position.FindStringSubmatchIndex(text); at != nil {
 		f.Line, _ = strconv.Atoi(text[at[2]:at[3]])
 		f.Reason = text[:at[0]] + text[at[1]:]
-		f.Field = o.lines.fieldAt(f.Line)
+		column, _ := strconv.Atoi(text[at[4]:at[5]])
+		f.Field = o.lines.fieldAt(f.Line, column)
 	}
 	return f
 }
@@ -100,12 +102,17 @@
 // lines are the lines of a file's fields, by path, such as cells.cell[2].group.
 type lines struct {
 	at    map[string]int
-	first map[int]string // the first field of a line
+	begun map[int][]begun // by line, the fields that begin there
+}
+
+type begun struct {
+	column int
+	field  string
 }
 
 // findLines finds the lines of all fields; none where the text can't be followed.
 func findLines(text []byte) lines {
-	l := lines{at: map[string]int{}, first: map[int]string{}}
+	l := lines{at: map[string]int{}, begun: map[int][]begun{}}
 	nodes, err := parser.Parse(text)
 	if err == nil {
 		l.add("", nodes)
@@ -131,8 +138,9 @@
 		case count[n.Name] == 1:
 			names = append(names, path)
 		}
-		if _, known := l.first[line]; !known {
-			l.first[line] = names[0]
+		at := begun{int(n.Start.Column), names[0]}
+		if !slices.ContainsFunc(l.begun[line], func(b begun) bool { return b.column == at.column }) {
+			l.begun[line] = append(l.begun[line], at)
 		}
 		for _, name := range names {
 			l.at[name] = line
@@ -155,5 +163,12 @@
 	}
 }
 
-// fieldAt is the first field of a line.
-func (l lines) fieldAt(line int) string { return l.first[line] }
+// fieldAt is the last field of a line that begins at a column or before it.
+func (l lines) fieldAt(line, column int) (field string) {
+	for _, b := range l.begun[line] {
+		if b.column <= column {
+			field = b.field
+		}
+	}
+	return field
+}
--- a/internal/program/cells.go
+++ b/internal/program/cells.go
@@ -54,7 +54,8 @@
 	if o.Cells == nil {
 		return c, nil
 	}
-	p.router.Confine(o.Gate())
+	p.router.Confine(o.Gate(p.descriptors.Limit() / roomShare))
+	p.lobby.crowded = p.router.Crowded
 	if k := o.Cells.Coordination; k != nil && k.Here {
 		if c.journal, err = store.Open(k.Journal); err != nil {
 			return nil, o.Reject("cells.coordination.journal", err)
--- a/internal/program/lobby.go
+++ b/internal/program/lobby.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"sedgespread/internal/cells"
 	"sedgespread/internal/protocol"
 	"sedgespread/internal/transport"
 )
@@ -30,18 +31,20 @@
 	strangers list.List
 	guests    list.List
 	leaving   bool
+	crowded   func() cells.Cell // whose clients go first where room is short; nil where there are no cells
 }
 
 // seat is a client's place in the lobby.
 type seat struct {
 	client protocol.Client
+	cell   cells.Cell // of its last RPC
 	since  time.Time
 	begun  time.Time // when it was found to have begun a message, zero for never
 }
 
 // enter gives a client a place while it waits, as a guest or a stranger. Once clients are to go it is let go, unless
 // its query has come.
-func (l *lobby) enter(c protocol.Client, guest bool) (leave func()) {
+func (l *lobby) enter(c protocol.Client, guest bool, cell cells.Cell) (leave func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	room := &l.strangers
@@ -51,7 +54,7 @@
 	if l.leaving {
 		c.Part(transport.ShutDown)
 	}
-	place := room.PushBack(&seat{client: c, since: time.Now()})
+	place := room.PushBack(&seat{client: c, cell: cell, since: time.Now()})
 	if room.Len() > l.d.Limit()/roomShare {
 		l.part(room, settledIn, guest)
 	}
@@ -72,14 +75,25 @@
 	}
 }
 
-// part lets the first client of a room go that has begun no message, if it has waited for a while. The lock is held.
+// part lets the first client of a room go that has begun no message, if it has waited for a while; where one cell's
+// clients hold more than its share, one of those. The lock is held.
 func (l *lobby) part(room *list.List, while time.Duration, must bool) bool {
+	if l.crowded != nil {
+		if cell := l.crowded(); cell != cells.NoCell && l.partOf(room, while, must, cell) {
+			return true
+		}
+	}
+	return l.partOf(room, while, must, cells.NoCell)
+}
+
+// partOf is part for the clients of one cell, or with NoCell of any. The lock is held.
+func (l *lobby) partOf(room *list.List, while time.Duration, must bool, cell cells.Cell) bool {
 	for place := room.Front(); place != nil; place = place.Next() {
 		s := place.Value.(*seat)
 		if !must && time.Since(s.since) < while {
 			return false
 		}
-		if s.client.Part(transport.Evicted) {
+		if (cell == cells.NoCell || cell == s.cell) && s.client.Part(transport.Evicted) {
 			room.Remove(place)
 			return true
 		}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"sedgespread/internal/cells"
 	"sedgespread/internal/protocol"
 	"sedgespread/internal/routing"
 	"sedgespread/internal/transport"
@@ -13,20 +14,26 @@
 
 // session serves one client for as long as its connection lasts.
 func (p *Program) session(c protocol.Client) {
-	leave := p.lobby.enter(c, false)
+	cell := cells.NoCell // of its last RPC, for which its connection counts
+	leave := p.lobby.enter(c, false, cell)
 	c.WriteWithin(longestWrite)
 	from, end := c.Welcome()
 	for guest := false; end == transport.Open; {
 		var text string
 		if text, end = c.Query(); end == transport.Open {
 			leave()
-			var taken bool
-			taken, end = p.query(c, from, text)
-			guest = guest || taken
-			leave = p.lobby.enter(c, guest)
+			var trip *routing.Trip
+			trip, end = p.query(c, from, text)
+			if trip != nil {
+				guest = true
+				p.router.Seat(cell, trip.Cell())
+				cell = trip.Cell()
+			}
+			leave = p.lobby.enter(c, guest, cell)
 		}
 	}
 	leave()
+	p.router.Seat(cell, cells.NoCell)
 	if end == transport.Malformed || end == transport.TooLong {
 		c.Linger(lingerFor, mostWaste)
 	}
@@ -39,20 +46,19 @@
 	longestWrite = 2 * time.Second        // a client may take to take its answer
 )
 
-// query serves a client's query, and tells whether it stood for an RPC that was taken.
-func (p *Program) query(c protocol.Client, from protocol.Origin, text string) (taken bool, end transport.End) {
+// query serves a client's query, and gives the trip of the RPC that it stood for, nil where none was taken.
+func (p *Program) query(c protocol.Client, from protocol.Origin, text string) (trip *routing.Trip, end transport.End) {
 	if strings.Trim(text, " \t\r\n;") == "" {
-		return false, p.emptyQuery(c)
+		return nil, p.emptyQuery(c)
 	}
-	var trip *routing.Trip
 	s, err := protocol.ParseStatement(text)
 	if err == nil {
 		trip, err = p.router.Admit(call(&s, from))
 	}
 	if err != nil {
-		return false, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
+		return nil, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
 	}
-	return true, p.rpc(c, &s, trip)
+	return trip, p.rpc(c, &s, trip)
 }
 
 // call is the RPC that a statement stands for.
--- a/internal/routing/confine.go
+++ b/internal/routing/confine.go
@@ -138,6 +138,32 @@
 	t.settle()
 }
 
+// Cell is the cell that the RPC was let into, NoCell for none.
+func (t *Trip) Cell() cells.Cell {
+	if t.pass == nil {
+		return cells.NoCell
+	}
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	return t.pass.ticket.Cell()
+}
+
+// Seat notes that a client's connection counts for another cell than before.
+func (r *Router) Seat(from, to cells.Cell) {
+	if from != to {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.gate.Seat(from, to)
+	}
+}
+
+// Crowded is the cell whose clients have to go first where connections are short.
+func (r *Router) Crowded() cells.Cell {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gate.Crowded()
+}
+
 // ReportGrant reports what the coordinator granted to what Report told at a time.
 func (r *Router) ReportGrant(asked int64, grant cells.Grant) error {
 	r.mu.Lock()
