--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -225,7 +225,7 @@
 }
 
 // within looks for a placement in which no load is above a target, with few moves: cells that are above it give up the
-// fewest tenants that bring them below, and those go where they fit best, if need be in place of a lighter one. It gives
+// fewest tenants that bring them below, and those go where they fit best, if need be in place of lighter ones. It gives
 // nil where it finds none.
 func (w *work) within(target float64, most int) []int {
 	place := w.present()
@@ -242,7 +242,10 @@
 	for c := range w.cells {
 		loose = append(loose, w.shed(members[c], loads[c]-limit(c))...)
 	}
-	slices.SortStableFunc(loose, func(a, b int) int { return cmp.Compare(w.tenants[b].Load, w.tenants[a].Load) })
+	heaviestFirst := func(ts []int) {
+		slices.SortStableFunc(ts, func(a, b int) int { return cmp.Compare(w.tenants[b].Load, w.tenants[a].Load) })
+	}
+	heaviestFirst(loose)
 	for _, t := range loose {
 		loads[place[t]] -= w.tenants[t].Load
 		place[t] = Nowhere
@@ -252,17 +255,20 @@
 		loose = loose[1:]
 		c := w.tightest(t, loads, limit)
 		if c == Nowhere {
-			out, in := w.chain(t, place, loads, limit, members)
-			if out == Nowhere {
+			var out []int
+			if out, c = w.displace(t, place, loads, limit, members); c == Nowhere {
 				return nil
 			}
-			loads[in] -= w.tenants[out].Load
-			place[out] = Nowhere
-			loose = append([]int{out}, loose...)
-			c = in
+			for _, o := range out {
+				loads[c] -= w.tenants[o].Load
+				place[o] = Nowhere
+			}
+			loose = append(loose, out...)
+			heaviestFirst(loose)
 		}
 		place[t] = c
 		loads[c] += w.tenants[t].Load
+		members[c] = append(members[c], t)
 	}
 	if w.moves(place) > most {
 		return nil
@@ -305,25 +311,30 @@
 	return best
 }
 
-// chain finds a lighter tenant whose place a tenant can have, and which fits elsewhere.
-func (w *work) chain(t int, place []int, loads []float64, limit func(int) float64, members [][]int) (out, in int) {
+// displace finds the cell where the fewest lighter tenants make room for one, and names them. Each that is placed so is
+// heavier than what it displaces, so that this comes to an end.
+func (w *work) displace(t int, place []int, loads []float64, limit func(int) float64, members [][]int) (out []int, in int) {
 	load := w.tenants[t].Load
+	in = Nowhere
 	for c := range w.cells {
-		if !w.may(t, c) {
+		if !w.may(t, c) || load > limit(c) {
 			continue
 		}
-		short := loads[c] + load - limit(c)
+		short, some := loads[c]+load-limit(c), []int(nil)
 		for _, o := range members[c] {
-			other := &w.tenants[o]
-			if place[o] != c || other.Stay || other.Load >= load || other.Load < short {
-				continue
+			if short <= 0 || in != Nowhere && len(some) >= len(out) {
+				break
 			}
-			if e := w.tightest(o, loads, limit); e != Nowhere && e != c {
-				return o, c
+			if other := &w.tenants[o]; place[o] == c && !other.Stay && other.Load < load {
+				some = append(some, o)
+				short -= other.Load
 			}
 		}
+		if short <= 0 && (in == Nowhere || len(some) < len(out)) {
+			out, in = some, c
+		}
 	}
-	return Nowhere, Nowhere
+	return out, in
 }
 
 // better is of two placements the one with the lower worst load, or with fewer moves where both are as good.
