--- a/Makefile
+++ b/Makefile
@@ -35,8 +35,19 @@
 	SEDGESPREAD_CELLS_TABLE=$(RESULTS)/structures.tmp go test -count=1 -run '^TestMeasure$$' ./internal/cells
 	{ $(call HEAD,make results-cells); cat $(RESULTS)/structures.tmp; } > $(RESULTS)/structures.md; rm $(RESULTS)/structures.tmp
 
+# The earlier version is that before cells; it gets a benchmark of its own, since its router took statements.
+BEFORE := 1c6dd3a
+
 results-cost:
-	{ $(call HEAD,make results-cost); echo '```'; go test -run '^$$' -bench BenchmarkRouting -benchtime 100000x -count 5 ./internal/routing; echo '```'; } > $(RESULTS)/cost.md
+	dir=$$(mktemp -d) && git worktree add -q --detach $$dir $(BEFORE) && \
+	cp $(RESULTS)/before_cells.go.txt $$dir/internal/routing/before_test.go && \
+	sed -i 's/^func begin(t \*testing.T/func begin(t testing.TB/' $$dir/internal/routing/router_test.go && \
+	{ $(call HEAD,make results-cost); echo '```'; \
+	  for round in 1 2 3 4 5; do \
+	    (cd $$dir && go test -run '^$$' -bench BenchmarkRouting -benchtime 100000x ./internal/routing | grep ns/op); \
+	    go test -run '^$$' -bench BenchmarkRouting -benchtime 100000x ./internal/routing | grep ns/op; \
+	  done; echo '```'; } > $(RESULTS)/cost.md; \
+	git worktree remove --force $$dir
 
 results-planner:
 	SEDGESPREAD_PLANNER_TABLE=$(RESULTS)/planner.tmp go test -count=1 -run '^TestMeasure$$' ./internal/planner
@@ -44,6 +55,7 @@
 
 results-flood: build
 	{ $(call HEAD,make results-flood); bin/sedgespread emulate flood --span 20s; } > $(RESULTS)/flood.md
+	{ $(call HEAD,make results-flood); bin/sedgespread emulate flood --span 10s --dark; } > $(RESULTS)/dark.md
 
 results-moves: build
-	{ $(call HEAD,make results-moves); bin/sedgespread emulate moves --seed 1; bin/sedgespread emulate moves --seed 2 --lease 400ms; } > $(RESULTS)/moves.md
+	{ $(call HEAD,make results-moves); bin/sedgespread emulate moves --seed 1; bin/sedgespread emulate moves --seed 2 --lease 400ms; bin/sedgespread emulate moves --seed 3 --calm; } > $(RESULTS)/moves.md
--- a/cmd/sedgespread/emulate.go
+++ b/cmd/sedgespread/emulate.go
@@ -50,6 +50,7 @@
 	Factor  float64       `default:"10" help:"The flood, in times of what the flooded cell can bear."`
 	Usual   float64       `default:"0.35" help:"The load of all others, as a part of what the fleet can bear."`
 	Tenants int           `default:"40" help:"Tenants beside the bots."`
+	Dark    bool          `help:"Instead of a flood, no member of the cell answers."`
 }
 
 // Run plays a flood and prints what came of it.
@@ -61,15 +62,19 @@
 		return err
 	}
 	trial := trials.Flood{Program: program, Seed: f.Seed, Span: f.Span, Cells: f.Cells, Drivers: f.Drivers, Factor: f.Factor,
-		Usual: f.Usual, Tenants: f.Tenants}
+		Usual: f.Usual, Tenants: f.Tenants, Dark: f.Dark}
 	r, err := trial.Run(ctx)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s\nseed %d, %v a night, %d cells of 3 members, %d drivers, bots at %g times what their cell can bear, %d other\n"+
+	trouble := fmt.Sprintf("bots at %g times what their cell can bear", f.Factor)
+	if f.Dark {
+		trouble = "a cell of which no member answers"
+	}
+	fmt.Printf("%s\nseed %d, %v a night, %d cells of 3 members, %d drivers, %s; %d other\n"+
 		"tenants at %g of what the fleet can bear. Service is the part of the utility that was had in the soft deadline or late.\n\n%s\n",
-		place(), f.Seed, f.Span, f.Cells, f.Drivers, f.Factor, f.Tenants, f.Usual, r.Table)
-	fmt.Printf("Of the service without a flood, other cells' tenants kept %.3f with cells and %.3f without; the flooded cell's other\n"+
+		place(), f.Seed, f.Span, f.Cells, f.Drivers, trouble, f.Tenants, f.Usual, r.Table)
+	fmt.Printf("Of the service of a quiet night, other cells' tenants kept %.3f with cells and %.3f without; the troubled cell's other\n"+
 		"tenants kept %.3f.\n", r.Kept, r.KeptOff, r.Within)
 	return nil
 }
--- a/internal/cells/book.go
+++ b/internal/cells/book.go
@@ -73,12 +73,13 @@
 	layout  *Layout
 	pins    map[Tenant]Cell
 	entries map[Tenant]Entry
+	moving  map[Tenant]bool // those whose entry is of a move under way
 	newest  Epoch
 }
 
 // NewBook makes a book in which nothing but pins is known.
 func NewBook(l *Layout, pins map[Tenant]Cell) *Book {
-	return &Book{layout: l, pins: pins, entries: map[Tenant]Entry{}}
+	return &Book{layout: l, pins: pins, entries: map[Tenant]Entry{}, moving: map[Tenant]bool{}}
 }
 
 // Seat is what a driver goes by for a tenant's RPCs.
@@ -128,6 +129,11 @@
 		return false, fmt.Errorf("tenant %q, epoch %d: cell %q is not in the file", e.Tenant, e.Epoch, e.To)
 	}
 	b.entries[e.Tenant] = e
+	if e.Stage == Resting {
+		delete(b.moving, e.Tenant)
+	} else {
+		b.moving[e.Tenant] = true
+	}
 	b.newest = max(b.newest, e.Epoch)
 	return true, nil
 }
@@ -147,18 +153,20 @@
 			newer = append(newer, e)
 		}
 	}
-	slices.SortFunc(newer, func(a, b Entry) int { return cmp.Compare(a.Epoch, b.Epoch) })
-	return newer
+	return byEpoch(newer)
+}
+
+func byEpoch(entries []Entry) []Entry {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Epoch, b.Epoch) })
+	return entries
 }
 
 // Moving are the entries of moves under way, the oldest first.
 func (b *Book) Moving() (moving []Entry) {
-	for _, e := range b.Since(0) {
-		if e.Stage != Resting {
-			moving = append(moving, e)
-		}
+	for t := range b.moving {
+		moving = append(moving, b.entries[t])
 	}
-	return moving
+	return byEpoch(moving)
 }
 
 // Seats are the cells of the tenants that are not where their names hash to.
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -35,8 +35,15 @@
 	Lag     int64   // of a replica, in the mean
 	Behind  int64   // that a group is behind what fills it
 	Seed    uint64
+	Cold    float64 // of its capacity that a member has just after its start, 0 for all
+	Warm    int64   // it has all of it after so long
+	Topple  float64 // sent more than this times its capacity for TopplesIn, a cold member falls over
+	Grace   int64   // a member that drains may still be sent statements for so long
 }
 
+// TopplesIn is the time in which a cold member must not be sent more than it bears.
+const TopplesIn = 2 * second
+
 // Able is how many statements a second one member can do.
 func (s Shape) Able() float64 { return float64(s.Cores) / (float64(s.Service) / float64(second)) }
 
@@ -78,9 +85,13 @@
 	starts  []int64 // of statements that wait, the first first
 	lag     int64   // of a replica
 	applied int64
-	slowed  int64 // everything takes so many times as long, 0 for 1
-	silent  int64 // it says nothing until then
-	mute    bool  // it does what it is told and loses the answers
+	slowed  int64   // everything takes so many times as long, 0 for 1
+	silent  int64   // it says nothing until then
+	mute    bool    // it does what it is told and loses the answers
+	started int64   // its last start, 0 for long ago
+	lives   int     // its starts, counted, so that what was taken before is not done after
+	drained int64   // it drains since, 0 for not
+	fed     []int64 // while it is cold, when statements came, the first first
 }
 
 // NewFleet makes a fleet; groups are numbered from 1, and the first member of each is its primary.
@@ -132,6 +143,7 @@
 func (f *Fleet) Arrive(now int64, m MemberID, s Statement) (done int64, r Refusal) {
 	at := f.members[m]
 	f.seen.arrive(s, m, now)
+	f.judge(now, m, s)
 	if s.Write && at.group.primary != m {
 		f.seen.refuse(s)
 		return 0, ReadOnly
@@ -152,6 +164,7 @@
 	if at.slowed > 1 {
 		took *= at.slowed
 	}
+	took = int64(float64(took) / f.warmth(now, at))
 	at.free[core] = start + took
 	if start > now {
 		at.starts = append(at.starts, start)
@@ -159,6 +172,57 @@
 	return start + took, Taken
 }
 
+// warmth is the part of its capacity that a member has.
+func (f *Fleet) warmth(now int64, m *member) float64 {
+	age := now - m.started
+	if m.started == 0 || f.Cold == 0 || age >= f.Warm {
+		return 1
+	}
+	return f.Cold + (1-f.Cold)*float64(age)/float64(f.Warm)
+}
+
+// judge checks what reaches a member against the rules on members that drain and on cold ones.
+func (f *Fleet) judge(now int64, m MemberID, s Statement) {
+	at := f.members[m]
+	if at.drained != 0 && now-at.drained > f.Grace {
+		f.seen.Breach(RuleDrain, s.ID, "member %d got a call-out %d ms after it began to drain", m, (now-at.drained)/milli)
+	}
+	share := f.warmth(now, at)
+	if share == 1 {
+		at.fed = nil
+		return
+	}
+	at.fed = append(slices.DeleteFunc(at.fed, func(t int64) bool { return now-t > TopplesIn }), now)
+	bears := f.Topple * share * f.Able() * float64(TopplesIn) / float64(second)
+	if float64(len(at.fed)) > bears+2*math.Sqrt(bears)+2 { // a little for chance
+		f.seen.Breach(RuleCold, s.ID, "member %d, at %.2f of its capacity, got %d statements in %d ms", m, share, len(at.fed), TopplesIn/milli)
+		at.silent = now + 10*second
+	}
+}
+
+// Drain lets a member drain, or serve again.
+func (f *Fleet) Drain(now int64, m MemberID, drains bool) {
+	f.members[m].drained = 0
+	if drains {
+		f.members[m].drained = now
+	}
+}
+
+// Drains tells whether a member drains.
+func (f *Fleet) Drains(m MemberID) bool { return f.members[m].drained != 0 }
+
+// Restart starts a member anew: it is cold, and what it had taken is not done. Its data is still there.
+func (f *Fleet) Restart(now int64, m MemberID) {
+	at := f.members[m]
+	at.started, at.fed, at.starts, at.silent, at.free = now, nil, nil, 0, make([]int64, f.Cores)
+	at.lives++
+}
+
+// Started is when a member started last, 0 for long ago, and its how manieth life it is.
+func (f *Fleet) Started(m MemberID) (at int64, life int) {
+	return f.members[m].started, f.members[m].lives
+}
+
 // Answer is what a member says of itself, and of a statement what came of it.
 type Answer struct {
 	Value    string
--- a/internal/emulator/sight.go
+++ b/internal/emulator/sight.go
@@ -46,6 +46,8 @@
 	RuleTwice     = "no effect twice"
 	RuleStale     = "no stale read"
 	RuleLost      = "no acknowledged write lost"
+	RuleDrain     = "nothing new after the drain grace"
+	RuleCold      = "no cold member pushed over"
 )
 
 func (s *Sight) breach(rule, rpc, format string, args ...any) {
@@ -61,6 +63,18 @@
 	return r
 }
 
+// Breach notes that a rule was broken.
+func (s *Sight) Breach(rule, rpc, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breach(rule, rpc, format, args...)
+}
+
+// Rules are those that are checked.
+func Rules() []string {
+	return []string{RuleOneAnswer, RuleTwice, RuleDrain, RuleCold, RuleStale, RuleLost}
+}
+
 // Sent notes that a client sends an RPC.
 func (s *Sight) Sent(id, key string, once bool) {
 	s.mu.Lock()
--- a/internal/emulator/sockets/drivers.go
+++ b/internal/emulator/sockets/drivers.go
@@ -91,7 +91,8 @@
 				"extra": map[string]any{"readLevel": levels, "guards": "none", "tokens": "client"},
 				"limits": map[string]any{"probing": true, "cancelling": true, "mostTries": 4, "connectTimeoutUs": 250_000,
 					"keepaliveUs": 30_000_000, "retryAfter": true, "maxRetryAfterUs": 500_000},
-				"safety": map[string]any{"askEveryUs": 20_000_000}, "discovery": "subscribe", "fleetSize": count}}
+				"safety": map[string]any{"askEveryUs": 20_000_000, "startCapacity": f.model.Cold, "warmAfterUs": f.model.Warm / 1000,
+					"fallMultiple": f.model.Topple, "drainGraceUs": f.model.Grace / 1000}, "discovery": "subscribe", "fleetSize": count}}
 		config, err := json.Marshal(told)
 		if err != nil {
 			return nil, err
--- a/internal/emulator/sockets/members.go
+++ b/internal/emulator/sockets/members.go
@@ -32,9 +32,12 @@
 	discovery *httptest.Server
 	fillHook  *httptest.Server
 
-	mu    sync.Mutex
-	model *emulator.Fleet
-	fills map[string]uint64 // the newest epoch that a tenant's filling was asked for
+	mu      sync.Mutex
+	model   *emulator.Fleet
+	version int           // of discovery's list
+	changed chan struct{} // closed at the next
+	conns   map[emulator.MemberID]map[*transport.Conn]bool
+	fills   map[string]uint64 // the newest epoch that a tenant's filling was asked for
 }
 
 const mostConns = 1 << 14
@@ -42,7 +45,8 @@
 // Start puts a fleet of a shape on loopback.
 func Start(s emulator.Shape) (*Fleet, error) {
 	sight := emulator.NewSight()
-	f := &Fleet{Sight: sight, begun: time.Now(), model: emulator.NewFleet(s, sight), fills: map[string]uint64{}}
+	f := &Fleet{Sight: sight, begun: time.Now(), model: emulator.NewFleet(s, sight), fills: map[string]uint64{},
+		version: 1, changed: make(chan struct{}), conns: map[emulator.MemberID]map[*transport.Conn]bool{}}
 	f.life, f.die = context.WithCancelCause(context.Background())
 	d := transport.NewDescriptors(mostConns)
 	for i := range f.model.Count() {
@@ -94,8 +98,53 @@
 	}
 }
 
+// hold keeps a member's connection in mind, or not any more.
+func (f *Fleet) hold(m emulator.MemberID, c *transport.Conn, holds bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conns[m] == nil {
+		f.conns[m] = map[*transport.Conn]bool{}
+	}
+	if holds {
+		f.conns[m][c] = true
+	} else {
+		delete(f.conns[m], c)
+	}
+}
+
+// Restart starts a member anew: its connections end, and it is cold.
+func (f *Fleet) Restart(m emulator.MemberID) {
+	f.relist(func(now int64, model *emulator.Fleet) { model.Restart(now, m) })
+	f.mu.Lock()
+	var ends []*transport.Conn
+	for c := range f.conns[m] {
+		ends = append(ends, c)
+	}
+	f.mu.Unlock()
+	for _, c := range ends {
+		c.Close(transport.ShutDown)
+	}
+}
+
+// Drain lets a member drain, or serve again.
+func (f *Fleet) Drain(m emulator.MemberID, drains bool) {
+	f.relist(func(now int64, model *emulator.Fleet) { model.Drain(now, m, drains) })
+}
+
+// relist does what changes discovery's list, and lets those who watch it know.
+func (f *Fleet) relist(do func(now int64, model *emulator.Fleet)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do(f.Now(), f.model)
+	f.version++
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // serve answers one driver's connection as a member does.
 func (f *Fleet) serve(c protocol.Client, m emulator.MemberID) {
+	f.hold(m, c.Conn, true)
+	defer f.hold(m, c.Conn, false)
 	_, end := c.Welcome()
 	for end == transport.Open {
 		var text string
@@ -118,9 +167,11 @@
 	var done int64
 	var refused emulator.Refusal
 	var state emulator.Answer
+	life, still := 0, 0
 	f.Model(func(now int64, model *emulator.Fleet) {
 		done, refused = model.Arrive(now, m, order)
 		state = model.Look(now, m)
+		_, life = model.Started(m)
 	})
 	switch refused {
 	case emulator.Full:
@@ -129,7 +180,14 @@
 		return c.Deny(protocol.Failure{State: protocol.StateReadOnly, Message: "this is no primary"}, told(state)...)
 	}
 	time.Sleep(time.Duration(done - f.Now())) // what a member has begun it finishes, whoever left meanwhile
-	f.Model(func(now int64, model *emulator.Fleet) { state = model.Do(now, m, order) })
+	f.Model(func(now int64, model *emulator.Fleet) {
+		if _, still = model.Started(m); still == life {
+			state = model.Do(now, m, order)
+		}
+	})
+	if still != life { // it has been started anew meanwhile
+		return transport.ShutDown
+	}
 	if state.Lost {
 		return c.Await(1)
 	}
@@ -163,32 +221,42 @@
 
 // List is discovery's list.
 func (f *Fleet) List() map[string]any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	entries := make([]any, 0, len(f.addresses))
-	f.Model(func(_ int64, model *emulator.Fleet) {
-		for i, address := range f.addresses {
-			entries = append(entries, map[string]any{"instanceId": fmt.Sprintf("m%d", i), "hostPort": address, "zone": "a",
-				"machineType": "m", "cell": model.Group(emulator.MemberID(i)), "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0})
+	for i, address := range f.addresses {
+		m, lifecycle := emulator.MemberID(i), "SERVING"
+		if f.model.Drains(m) {
+			lifecycle = "DRAINING"
 		}
-	})
-	return map[string]any{"generation": 1, "reset": true, "instances": entries}
+		started, _ := f.model.Started(m)
+		entries = append(entries, map[string]any{"instanceId": fmt.Sprintf("m%d", i), "hostPort": address, "zone": "a",
+			"machineType": "m", "cell": f.model.Group(m), "lifecycle": lifecycle, "weight": 1.0,
+			"startedAtMs": started / int64(time.Millisecond)})
+	}
+	return map[string]any{"generation": f.version, "reset": true, "instances": entries}
 }
 
-// list answers as discovery does. Nothing changes in the list, so that a watch waits for its time.
+// list answers as discovery does: at once, or where it is watched once it is newer than what the watcher has.
 func (f *Fleet) list(w http.ResponseWriter, r *http.Request) {
-	list := f.List()
-	if r.URL.Query().Get("index") != "" {
+	if index, err := strconv.Atoi(r.URL.Query().Get("index")); err == nil {
 		wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
-		select {
-		case <-time.After(time.Duration(wait) * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		case <-f.life.Done():
-			return
+		f.mu.Lock()
+		newer, changed := f.version > index, f.changed
+		f.mu.Unlock()
+		if !newer {
+			select {
+			case <-changed:
+			case <-time.After(time.Duration(wait) * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			case <-f.life.Done():
+				return
+			}
 		}
-		list["reset"], list["instances"] = false, []any{}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	jsonhttp.Write(w, list)
+	jsonhttp.Write(w, f.List())
 }
 
 // fill takes what a coordinator asks of the store. One that is older than what was asked before changes nothing.
--- a/internal/emulator/trials/flood.go
+++ b/internal/emulator/trials/flood.go
@@ -23,9 +23,10 @@
 	Factor  float64 // of what the flooded cell can bear
 	Usual   float64 // load of all other tenants, as a part of what the fleet can bear
 	Tenants int
+	Dark    bool // instead of a flood, no member of the cell answers
 }
 
-// floodShape is the fleet of a flood: a primary and two replicas a cell.
+// shape is the fleet of a flood: a primary and two replicas a cell.
 func (f *Flood) shape() emulator.Shape {
 	return emulator.Shape{Groups: f.Cells, Members: 3, Cores: 2, Queue: 40, Service: int64(40 * time.Millisecond), Spread: 0.3,
 		Lag: int64(10 * time.Millisecond), Behind: int64(20 * time.Millisecond), Seed: f.Seed}
@@ -53,8 +54,12 @@
 
 // Run plays the four nights, one after another: quiet and flooded, with cells and without.
 func (f *Flood) Run(ctx context.Context) (*Result, error) {
-	sides := []*side{{name: "cells, no flood", cells: true}, {name: "cells, flood", cells: true, flood: true},
-		{name: "no cells, no flood"}, {name: "no cells, flood", flood: true}}
+	trouble := "flood"
+	if f.Dark {
+		trouble = "dark cell"
+	}
+	sides := []*side{{name: "cells, no " + trouble, cells: true}, {name: "cells, " + trouble, cells: true, flood: true},
+		{name: "no cells, no " + trouble}, {name: "no cells, " + trouble, flood: true}}
 	for _, s := range sides {
 		if err := f.night(ctx, s); err != nil {
 			return nil, fmt.Errorf("%s: %w", s.name, err)
@@ -127,7 +132,10 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if s.flood {
+		switch {
+		case s.flood && f.Dark:
+			f.dark(n)
+		case s.flood:
 			f.flood(ctx, n, s, able*f.Factor)
 		}
 	}()
@@ -182,6 +190,15 @@
 	}
 }
 
+// dark lets the members of the first cell stand still for the whole night.
+func (f *Flood) dark(n *Night) {
+	n.Fleet.Model(func(now int64, m *emulator.Fleet) {
+		for id := range f.shape().Members {
+			m.Pause(emulator.MemberID(id), now+int64(f.Span))
+		}
+	})
+}
+
 const botTries = 5
 
 // flood asks as bots do: pushed back, they come again at once, several times.
--- a/internal/emulator/trials/moves.go
+++ b/internal/emulator/trials/moves.go
@@ -42,7 +42,8 @@
 
 func (v *Moves) shape() emulator.Shape {
 	return emulator.Shape{Groups: moveCells, Members: 3, Cores: 4, Queue: 100, Service: int64(2 * time.Millisecond), Spread: 0.5,
-		Lag: int64(15 * time.Millisecond), Behind: int64(30 * time.Millisecond), Seed: v.Seed}
+		Lag: int64(15 * time.Millisecond), Behind: int64(30 * time.Millisecond), Seed: v.Seed, Cold: 0.2, Warm: int64(4 * time.Second),
+		Topple: 2, Grace: int64(3 * time.Second)}
 }
 
 // MovesResult is what a trial of moves showed.
@@ -393,6 +394,15 @@
 		{"a member stands still", 2 * time.Second, func(ctx context.Context) {
 			some(func(at emulator.MemberID, f *emulator.Fleet, now int64) { f.Pause(at, now+int64(500*time.Millisecond)) })
 		}},
+		{"a replica drains and serves again", 4 * time.Second, func(ctx context.Context) {
+			id := emulator.MemberID(m.chance.intN(moveCells)*m.shape().Members + 1) // never both of a group
+			m.n.Fleet.Drain(id, true)
+			sleep(ctx, m.drained())
+			m.n.Fleet.Drain(id, false)
+		}},
+		{"a member starts anew and is cold", 4 * time.Second, func(ctx context.Context) {
+			m.n.Fleet.Restart(emulator.MemberID(m.chance.intN(members)))
+		}},
 		{"a replica lags and answers quickly", 2 * time.Second, func(ctx context.Context) {
 			var id emulator.MemberID
 			some(func(at emulator.MemberID, f *emulator.Fleet, now int64) {
@@ -405,6 +415,9 @@
 	}
 }
 
+// drained is how long a member drains: longer than what may still be sent to it.
+func (m *moving) drained() time.Duration { return time.Duration(m.shape().Grace) + 2*time.Second }
+
 // trouble brings a fault about again and again until the context ends.
 func (m *moving) trouble(ctx context.Context, f fault) {
 	for {
@@ -450,7 +463,7 @@
 	for _, b := range r.Breaches {
 		count[b.Rule]++
 	}
-	for _, rule := range []string{emulator.RuleOneAnswer, emulator.RuleTwice, emulator.RuleStale, emulator.RuleLost} {
+	for _, rule := range emulator.Rules() {
 		rows = append(rows, []string{"breaches: " + rule, fmt.Sprint(count[rule])})
 	}
 	names := make([]string, 0, len(r.Faults))
--- a/internal/emulator/trials/trials_test.go
+++ b/internal/emulator/trials/trials_test.go
@@ -29,6 +29,17 @@
 	require.Less(t, r.KeptOff, 0.9, "without cells the flood is everybody's")
 }
 
+// A cell of which no member answers is its own tenants' trouble alone.
+func TestADarkCellIsContained(t *testing.T) {
+	f := Flood{Program: built(t), Seed: 1, Span: 1500 * time.Millisecond, Cells: 4, Drivers: 2, Usual: 0.25, Tenants: 20, Dark: true}
+	r, err := f.Run(context.Background())
+	require.NoError(t, err)
+	t.Log("\n" + r.Table)
+	require.Greater(t, r.Kept, 0.95)
+	require.Less(t, r.Within, 0.5)
+	require.Less(t, r.KeptOff, 0.9)
+}
+
 // A few moves under writes and faults: no rule is broken.
 func TestMovesUnderFaults(t *testing.T) {
 	v := Moves{Program: built(t), Seed: 3, Count: 25, Span: time.Minute, Faults: true, Tenants: 6, Keys: 3, Lease: 600 * time.Millisecond,
