--- a/internal/emulator/trials/flood.go
+++ b/internal/emulator/trials/flood.go
@@ -139,10 +139,9 @@
 			f.flood(ctx, n, s, able*f.Factor)
 		}
 	}()
-	rng := rand.New(rand.NewPCG(f.Seed, 2))
 	chance := &locked{rng: rand.New(rand.NewPCG(f.Seed, 3))}
-	draw := newSkewed(names, 0.5, rng)
-	arrivals(ctx, rng, able*float64(f.Cells)*f.Usual, f.Span, func() {
+	draw := newSkewed(names, 0.5, chance.rng)
+	arrivals(ctx, rand.New(rand.NewPCG(f.Seed, 2)), able*float64(f.Cells)*f.Usual, f.Span, func() {
 		chance.mu.Lock()
 		tenant := draw.next()
 		chance.mu.Unlock()
