--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -53,7 +53,8 @@
 	}
 	s, err := protocol.ParseStatement(text)
 	if err == nil {
-		trip, err = p.router.Admit(call(&s, from))
+		asked := call(&s, from)
+		trip, err = p.router.Admit(&asked)
 	}
 	if err != nil {
 		return nil, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
@@ -62,9 +63,9 @@
 }
 
 // call is the RPC that a statement stands for.
-func call(s *protocol.Statement, from protocol.Origin) *routing.Call {
+func call(s *protocol.Statement, from protocol.Origin) routing.Call {
 	const milli = int64(time.Millisecond)
-	return &routing.Call{ID: s.ID, Method: s.Method, Key: s.Key, Write: s.Write, Repeat: s.Repeat, Group: rules.GroupID(s.Group),
+	return routing.Call{ID: s.ID, Method: s.Method, Key: s.Key, Write: s.Write, Repeat: s.Repeat, Group: rules.GroupID(s.Group),
 		Left: s.Left * milli, Token: s.After * milli, User: from.User, Base: from.Database}
 }
 
--- a/internal/routing/confine.go
+++ b/internal/routing/confine.go
@@ -37,8 +37,9 @@
 	a := cells.Ask{Tenant: r.gate.Tenant(c.Key, c.User, c.Base), Key: c.Key, Write: c.Write, Soft: m.SoftDeadline, Left: c.Left,
 		Utility: m.Utility}
 	t.pass = &pass{}
+	left := c.Left
 	ticket, v, decided := r.gate.Admit(now, a, func(v cells.Verdict) {
-		rpc.Left = max(0, c.Left-(r.now()-now))
+		rpc.Left = max(0, left-(r.now()-now))
 		t.decided(rpc, v)
 	})
 	t.pass.ticket = ticket
