--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run proto results results-cells results-cost results-planner results-flood results-moves
+.PHONY: build test race lint fuzz run proto results results-cells results-cost results-planner results-flood results-moves results-walk
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -26,7 +26,7 @@
 	go generate ./proto
 
 # The tables under docs/results. Nothing else should run meanwhile.
-results: results-cells results-cost results-planner results-flood results-moves
+results: results-cells results-cost results-planner results-flood results-moves results-walk
 
 RESULTS := $(CURDIR)/docs/results/cells
 HEAD = { echo '<!-- $(1); commit '$$(git rev-parse --short HEAD)', '$$(nproc)' cores, '$$(go env GOOS GOARCH GOVERSION | tr '\n' ' ')'-->'; echo; }
@@ -59,3 +59,6 @@
 
 results-moves: build
 	{ $(call HEAD,make results-moves); bin/sedgespread emulate moves --seed 1; bin/sedgespread emulate moves --seed 2 --lease 400ms; bin/sedgespread emulate moves --seed 3 --calm; } > $(RESULTS)/moves.md
+
+results-walk:
+	{ $(call HEAD,make results-walk); echo '```'; go test -count=1 -v -run 'Interleavings|PlantedBugs' ./internal/cells | grep -v 'rapid\|RUN' | sed 's/ ([0-9.]*s)//; s/\t[0-9.]*s$$//'; echo '```'; } > $(RESULTS)/walk.md
