--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -91,6 +91,7 @@
 	WhyBlind        // this ledger has lost its records, and can't tell
 	WhyLate         // its deadline is past
 	WhyStranger     // the caller is not known
+	WhyJournal      // its record could not be written
 	whys
 )
 
