--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -107,6 +107,7 @@
 	grant    Grant // the last one
 	state    state
 	fate     Fate
+	split    bool // grants of it that may have run were for several groups: a report that allowed that was lost in a crash
 }
 
 // Ledger is the account. Its methods are to be called one after another.
@@ -205,8 +206,7 @@
 	case e.effect != a.Effect || e.window != a.Window: // not what it was: the stricter account counts
 		return l.refuse(e, WhyDoubtful)
 	case e.effect == rules.Idempotent:
-	case e.effect == rules.Tokened && e.risk+e.window <= now && e.mayHaveRun(),
-		e.effect == rules.Tokened && e.group != a.Group && e.mayHaveRun():
+	case e.effect == rules.Tokened && e.mayHaveRun() && (e.risk+e.window <= now || e.group != a.Group || e.split):
 		return l.refuse(e, WhyWindow)
 	case e.effect == rules.NonIdempotent && e.state == granted:
 		return l.refuse(e, WhyOut)
@@ -279,6 +279,7 @@
 	if e.risk == 0 {
 		e.risk, e.group = now, a.Group
 	}
+	e.split = e.split || e.group != a.Group
 	if known && e.caller != a.Caller {
 		l.open[e.caller]--
 		l.open[a.Caller]++
@@ -325,7 +326,7 @@
 	case NeverRan:
 		e.state = idle
 		if e.fate == NeverRan {
-			e.risk = 0
+			e.risk, e.split = 0, false
 		}
 	case MayHaveRun:
 		e.state, e.fate = doubtful, MayHaveRun
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -172,7 +172,9 @@
 // may have run, and a tokened one only in its group and window.
 func TestNothingRunsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := New(0, 40, 30)
+		const begun = 1000 * ms
+		now := begun
+		l := New(now, 40, 30)
 		var records []Record
 		type sent struct {
 			ask   Ask
@@ -191,13 +193,12 @@
 		}
 		join()
 		effects := []rules.Effect{rules.NonIdempotent, rules.Tokened, rules.Idempotent}
-		now := int64(0)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1, 2:
 				n := rapid.IntRange(0, 5).Draw(t, "id")
 				a := Ask{ID: ID(fmt.Sprint(n)), Effect: effects[n%3], Caller: Caller(rapid.IntRange(0, 1).Draw(t, "caller")),
-					Group: rules.GroupID(rapid.IntRange(1, 2).Draw(t, "group")), Window: 100 * ms * int64(n%3%2), Deadline: 400 * ms}
+					Group: rules.GroupID(rapid.IntRange(1, 2).Draw(t, "group")), Window: 100 * ms * int64(n%3%2), Deadline: begun + 400*ms}
 				d := l.Decide(now, a)
 				if d.Act != Give {
 					continue
