--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -28,15 +28,7 @@
 // may be one that was lost: until the longest deadline from now has passed repeats can't be told from first tries.
 func Open(j *store.Journal, most, quota int, longest time.Duration) (*Account, error) {
 	a := &Account{journal: j, commit: store.NewCommitter(j, together), begun: time.Now()}
-	var records []ledger.Record
-	err := j.Replay(func(text []byte) error {
-		var r ledger.Record
-		if err := json.Unmarshal(text, &r); err != nil {
-			return err
-		}
-		records = append(records, r)
-		return nil
-	})
+	records, err := store.All[ledger.Record](j)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cells/gate.go
+++ b/internal/cells/gate.go
@@ -43,12 +43,10 @@
 type present struct {
 	tickets map[*Ticket]bool // let in, and not settled
 	held    []*Ticket        // the first first
-	ghosts  []ghost          // writes that ended and may still run
+	ghosts  []int64          // until when writes that ended may still run
 	commit  int64
 }
 
-type ghost struct{ until int64 }
-
 // Gate is a driver's side of cells: it lets RPCs in, holds them while their tenant is moved, or turns them away.
 type Gate struct {
 	layout  *Layout
@@ -278,7 +276,7 @@
 		g.limits.settled(t, now)
 	}
 	if t.Write && t.until > now {
-		p.ghosts = append(p.ghosts, ghost{t.until})
+		p.ghosts = append(p.ghosts, t.until)
 	}
 	g.tidy(t.Tenant, p)
 }
@@ -313,7 +311,7 @@
 const commitKept = 5 * second
 
 func (p *present) lay(now int64) {
-	p.ghosts = slices.DeleteFunc(p.ghosts, func(o ghost) bool { return o.until <= now })
+	p.ghosts = slices.DeleteFunc(p.ghosts, func(until int64) bool { return until <= now })
 }
 
 // Granted takes in what the coordinator granted to a report that was made at a time. It gives the tenants whose entries
@@ -465,6 +463,14 @@
 	return f
 }
 
+// Load is a tenant's RPCs a second here, 0 for one that is not among the heaviest.
+func (g *Gate) Load(t Tenant, now int64) float64 {
+	if g.limits == nil {
+		return 0
+	}
+	return g.limits.rate(t, now)
+}
+
 // Book is where tenants are, as this driver knows.
 func (g *Gate) Book() *Book { return g.book }
 
--- a/internal/cells/limits.go
+++ b/internal/cells/limits.go
@@ -245,9 +245,23 @@
 	}
 }
 
+// seconds is the time that the loads stand for.
+func (m *Limits) seconds(now int64) float64 {
+	return max(1, m.span+float64(now-m.faded)/float64(second))
+}
+
+// rate is a tenant's RPCs a second, 0 for one that is not kept.
+func (m *Limits) rate(t Tenant, now int64) float64 {
+	if _, kept := m.heavy.at[t]; !kept {
+		return 0
+	}
+	load, _ := m.heavy.Load(t)
+	return load / m.seconds(now)
+}
+
 // rates are the heaviest tenants in RPCs a second.
 func (m *Limits) rates(now int64, most int) []Weighed {
-	top, over := m.heavy.Top(most), max(1, m.span+float64(now-m.faded)/float64(second))
+	top, over := m.heavy.Top(most), m.seconds(now)
 	for i := range top {
 		top[i].Load, top[i].Over = top[i].Load/over, top[i].Over/over
 	}
--- a/internal/membership/chair.go
+++ b/internal/membership/chair.go
@@ -57,15 +57,7 @@
 // NewChair takes up what a journal holds. Leases that were given before are waited for.
 func NewChair(book *cells.Book, j *store.Journal, lease, hold time.Duration, fill Fill, log logrus.FieldLogger) (*Chair, error) {
 	h := &Chair{journal: j, fill: fill, log: log, begun: time.Now(), changed: make(chan struct{}), asked: map[cells.Tenant]cells.Epoch{}}
-	var records []cells.Record
-	err := j.Replay(func(text []byte) error {
-		var r cells.Record
-		if err := json.Unmarshal(text, &r); err != nil {
-			return err
-		}
-		records = append(records, r)
-		return nil
-	})
+	records, err := store.All[cells.Record](j)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/program/cells.go
+++ b/internal/program/cells.go
@@ -188,11 +188,7 @@
 		if seat.Cell != cells.NoCell {
 			place.Groups, place.Group = l.Shard(t, seat.Cell), int64(l.Group(t, key, seat.Cell))
 		}
-		for _, w := range g.Figures(now, 1<<20).Heavy {
-			if w.Tenant == t {
-				place.Load = w.Load
-			}
-		}
+		place.Load = g.Load(t, now)
 		return place
 	})
 }
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -26,8 +26,9 @@
 			trip, end = p.query(c, from, text)
 			if trip != nil {
 				guest = true
-				p.router.Seat(cell, trip.Cell())
+				last := cell
 				cell = trip.Cell()
+				p.router.Seat(last, cell)
 			}
 			leave = p.lobby.enter(c, guest, cell)
 		}
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -147,6 +148,19 @@
 	})
 }
 
+// All reads all records of a journal that were written as JSON, in their order.
+func All[T any](j *Journal) (all []T, err error) {
+	err = j.Replay(func(text []byte) error {
+		var r T
+		if err := json.Unmarshal(text, &r); err != nil {
+			return err
+		}
+		all = append(all, r)
+		return nil
+	})
+	return all, err
+}
+
 // Drop forgets the oldest records, all but so many. What they said must not be needed any more.
 func (j *Journal) Drop(keep int) (err error) {
 	defer rescue(j.path, &err, debug.SetPanicOnFault(true))
