Probes and call-outs share connections; the last idle one is kept as a witness of a cut link

A count in each driver showed 218 of some 290 connections opened for probes, the rest for call-outs, of which most replaced one closed by a time-out; none were shed or evicted, so scarcity was ruled out. Change: a probe takes an idle connection of the pool. The last one is left alone where what was sent last was not answered, or where it did not work just now: a link that was cut is still told from a restart by it. A test shows that a driver with nothing but GW_* opens no Unix socket, program or file.

--- /dev/null
+++ b/internal/program/alone_test.go
@@ -0,0 +1,55 @@
+package program_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against parts for other installations that start on a platform which refuses them: told nothing but where to
+// work, a driver opens no Unix socket, starts no program and keeps no file open or behind.
+func TestNothingElseIsOpened(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	env := posting(t, newDiscovery(t, primary), nil)
+	folder := t.TempDir()
+	env["TMPDIR"], env["HOME"] = folder, folder
+	cmd, _ := command(t, env)
+	cmd.Dir = folder
+	require.NoError(t, cmd.Start())
+	require.Equal(t, "from p", (&driver{address: env["GW_LISTEN"]}).client(t).ask(t, statement("write", 1000)))
+	process := fmt.Sprintf("/proc/%d/", cmd.Process.Pid)
+	unix, err := os.ReadFile(process + "net/unix")
+	require.NoError(t, err)
+	open, err := filepath.Glob(process + "fd/*")
+	require.NoError(t, err)
+	sockets := 0
+	for _, path := range open {
+		target, err := os.Readlink(path)
+		if err != nil {
+			continue // closed meanwhile
+		}
+		inode, socket := strings.CutPrefix(target, "socket:[")
+		if socket {
+			sockets++
+			require.NotContains(t, string(unix), " "+strings.TrimSuffix(inode, "]")+" ")
+			require.NotContains(t, string(unix), " "+strings.TrimSuffix(inode, "]")+"\n")
+			continue
+		}
+		special := strings.HasPrefix(target, "/dev/") || strings.HasPrefix(target, "pipe:") || strings.HasPrefix(target, "anon_inode:")
+		require.True(t, special || strings.HasPrefix(target, "/sys/fs/cgroup/"), target)
+	}
+	require.GreaterOrEqual(t, sockets, 3, "its door, discovery, a member")
+	children, err := filepath.Glob(process + "task/*/children")
+	require.NoError(t, err)
+	for _, path := range children {
+		text, err := os.ReadFile(path)
+		require.True(t, err != nil || len(text) == 0, "children: %s", text)
+	}
+	left, err := os.ReadDir(folder)
+	require.NoError(t, err)
+	require.Empty(t, left)
+}
--- a/internal/program/duties.go
+++ b/internal/program/duties.go
@@ -18,10 +18,8 @@
 		case routing.Look:
 			p.tasks.Go(func() error { p.look(d); return nil })
 		case routing.Shed:
-			p.pools.shed(d.Member)
 			p.looks.shed(d.Member)
 		case routing.Forget:
-			p.pools.shed(d.Member)
 			p.looks.drop(d.Member)
 		case routing.Spread:
 			p.peers.spread(d.Message)
--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -11,26 +11,24 @@
 	"sedgespread/rules"
 )
 
-// looks are the connections for probes, two a member, used by turns. While a member does not answer, new ones are
-// tried and the one left over is not written to: if it still works once the member answers, that ran all along.
+// looks makes probes over the connections that call-outs use too. One that could be the last to a member is left alone
+// unless it worked just now: while a member does not answer new ones are tried, and if the one left over still works
+// once the member answers, that ran all along.
 type looks struct {
 	pools *pools
 	mu    sync.Mutex
-	kept  map[rules.MemberID][]link // the one used last comes last
-	mute  map[rules.MemberID]bool   // its last probe was not answered
+	mute  map[rules.MemberID]bool // its last probe was not answered
 }
 
-const keptLooks = 2 // connections for probes of a member
+const sureFor = time.Second // a connection that worked so lately is used though it is the last
 
-func newLooks(p *pools) *looks {
-	return &looks{pools: p, kept: map[rules.MemberID][]link{}, mute: map[rules.MemberID]bool{}}
-}
+func newLooks(p *pools) *looks { return &looks{pools: p, mute: map[rules.MemberID]bool{}} }
 
 // look probes a member. The module has one probe of a member out at a time.
 func (l *looks) look(by context.Context, to rules.MemberID, address string) (o routing.Outcome) {
 	mute, usable, w := l.isMute(to), false, link{}
 	if !mute {
-		w, usable = l.take(to, address)
+		w, usable = l.pools.waiting(to, address, l.pools.leave(to, sureFor))
 	}
 	if usable {
 		o = l.ask(by, to, w)
@@ -48,46 +46,34 @@
 	if end != transport.Open {
 		return routing.Outcome{End: end}
 	}
+	old, left := link{}, false
+	if mute {
+		old, left = l.pools.waiting(to, address, 0)
+	}
 	o := l.ask(by, to, w)
-	if o.Answer == nil || !mute {
+	if !left {
+		return o
+	}
+	if o.Answer == nil { // not yet: it is left for later
+		l.pools.give(to, old, old.since)
 		return o
 	}
-	if old, ok := l.take(to, address); ok {
-		if again := l.ask(by, to, old); again.Answer != nil {
-			return again
-		}
+	if again := l.ask(by, to, old); again.Answer != nil {
+		return again
 	}
 	return o
 }
 
-// ask probes over a connection, and keeps it if it is still good.
+// ask probes over a connection, and gives it to the pool if it is still good.
 func (l *looks) ask(by context.Context, to rules.MemberID, w link) routing.Outcome {
 	answer, sent, end := w.Ask(by, protocol.LoadQuery)
+	l.pools.answered(to, answer != nil, end)
 	if end == transport.Open {
-		w.since = time.Now()
-		l.mu.Lock()
-		l.kept[to] = append(l.kept[to], w)
-		l.mu.Unlock()
+		l.pools.give(to, w, time.Now())
 	}
 	return routing.Outcome{Answer: answer, Sent: sent, End: end, Opened: w.opened}
 }
 
-// take takes the connection to a member that was used longest ago, if as many as there should be are kept.
-func (l *looks) take(to rules.MemberID, address string) (w link, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.kept[to] = pruned(l.kept[to], func(k link) bool { return k.good(address, l.pools.idleFor) })
-	if len(l.kept[to]) < keptLooks {
-		return w, false
-	}
-	w, l.kept[to] = l.kept[to][0], l.kept[to][1:]
-	if !w.Quiet() {
-		w.Close(transport.Evicted)
-		return w, false
-	}
-	return w, true
-}
-
 func (l *looks) isMute(to rules.MemberID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -100,27 +86,18 @@
 	l.mute[to] = mute
 }
 
-// shed closes the connections to a member, but for what is left to tell whether one that does not answer ran on.
+// shed closes the connections to a member that carry nothing, but for what is left to tell whether one that does not
+// answer ran on.
 func (l *looks) shed(to rules.MemberID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.mute[to] {
-		l.close(to)
+	if !l.isMute(to) {
+		l.pools.shed(to)
 	}
 }
 
 // drop lets go of all that is kept for a member.
 func (l *looks) drop(to rules.MemberID) {
+	l.pools.drop(to)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.close(to)
 	delete(l.mute, to)
 }
-
-// close closes the connections to a member. The lock is held.
-func (l *looks) close(to rules.MemberID) {
-	for _, w := range l.kept[to] {
-		w.Close(transport.Evicted)
-	}
-	delete(l.kept, to)
-}
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -20,8 +20,9 @@
 	idleFor       time.Duration
 	mostAnswer    int // bytes
 
-	mu   sync.Mutex
-	idle map[rules.MemberID][]link
+	mu    sync.Mutex
+	idle  map[rules.MemberID][]link
+	doubt map[rules.MemberID]bool // what was sent to it last was not answered in time
 }
 
 const answerShare = 16 // an answer may take this part of the memory allowed
@@ -41,26 +42,28 @@
 
 func newPools(life context.Context, d *transport.Descriptors, posting *Posting) *pools {
 	return &pools{life: life, d: d, connectWithin: posting.ConnectWithin, idleFor: posting.IdleFor,
-		mostAnswer: int(posting.MemoryMB << 20 / answerShare), idle: map[rules.MemberID][]link{}}
+		mostAnswer: int(posting.MemoryMB << 20 / answerShare), idle: map[rules.MemberID][]link{},
+		doubt: map[rules.MemberID]bool{}}
 }
 
 // ask sends a statement to a member and waits for what comes of it. The statement is told how long that may take.
 func (p *pools) ask(by context.Context, to rules.MemberID, address string,
 	statement func(within time.Duration) []string) routing.Outcome {
-	l, ok := p.waiting(to, address)
+	l, ok := p.waiting(to, address, p.leave(to, 0))
 	if end := transport.Open; !ok {
 		if l, end = p.open(by, address); end != transport.Open {
 			return routing.Outcome{End: end}
 		}
 	}
 	if end := transport.EndOf(by); end != transport.Open { // it ended meanwhile: nothing may be sent for it any more
-		p.give(to, l)
+		p.give(to, l, l.since)
 		return routing.Outcome{End: end}
 	}
 	deadline, _ := by.Deadline()
 	answer, sent, end := l.Ask(by, statement(time.Until(deadline))...)
+	p.answered(to, answer != nil, end)
 	if end == transport.Open {
-		p.give(to, l)
+		p.give(to, l, time.Now())
 	}
 	return routing.Outcome{Answer: answer, Sent: sent, End: end, Opened: l.opened}
 }
@@ -77,13 +80,37 @@
 	return link{Member: m, address: address, opened: now, since: now}, end
 }
 
-// waiting takes the idle connection to a member that was used last. One on which something came meanwhile is none:
-// that would be taken for the next answer.
-func (p *pools) waiting(to rules.MemberID, address string) (link, bool) {
+// answered notes whether a member answered in time.
+func (p *pools) answered(to rules.MemberID, answered bool, end transport.End) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered {
+		delete(p.doubt, to)
+	} else if end == transport.TimedOut {
+		p.doubt[to] = true
+	}
+}
+
+// leave is how many idle connections to a member are to be left alone: the last one where what was sent last was not
+// answered, or where the last has not worked for so long, 0 for never. If the member answers later, and on it too, it
+// ran all along.
+func (p *pools) leave(to rules.MemberID, sure time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[to]
+	if p.doubt[to] || sure > 0 && len(idle) > 0 && time.Since(idle[len(idle)-1].since) > sure {
+		return 1
+	}
+	return 0
+}
+
+// waiting takes the idle connection to a member that was used last, if more than so many are there. One on which
+// something came meanwhile is none: that would be taken for the next answer.
+func (p *pools) waiting(to rules.MemberID, address string, leave int) (link, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prune(to, func(l link) bool { return !l.good(address, p.idleFor) })
-	for last := len(p.idle[to]) - 1; last >= 0; last-- {
+	for last := len(p.idle[to]) - 1; last >= leave; last-- {
 		l := p.idle[to][last]
 		p.idle[to] = p.idle[to][:last]
 		if l.Quiet() {
@@ -113,10 +140,11 @@
 	})
 }
 
-func (p *pools) give(to rules.MemberID, l link) {
+// give gives a connection back that carries nothing since a time.
+func (p *pools) give(to rules.MemberID, l link, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.since = time.Now()
+	l.since = since
 	p.prune(to, func(link) bool { return false })
 	p.idle[to] = append(p.idle[to], l)
 }
@@ -128,6 +156,14 @@
 	p.prune(to, func(link) bool { return true })
 }
 
+// drop lets go of all that is known of a member.
+func (p *pools) drop(to rules.MemberID) {
+	p.shed(to)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.doubt, to)
+}
+
 // evict closes the connection that has been idle longest, and tells whether there was one.
 func (p *pools) evict() bool {
 	p.mu.Lock()
