--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// hear reports what fellow drivers send until the socket is closed.
-func (p *peers) hear(r *routing.Router) {
+// hear reports what fellow drivers send, and tells so, until the socket is closed.
+func (p *peers) hear(r *routing.Router, heard func()) {
 	if p.socket == nil {
 		return
 	}
@@ -60,7 +60,9 @@
 		}
 		if !r.ReportNews(buffer[:n]) {
 			p.log.WithField("from", from).WithField("dropped", p.dropped.Add(1)).Warn("datagram is not a driver's")
+			continue
 		}
+		heard()
 	}
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -78,7 +78,7 @@
 	p.tasks.Go(func() error { return p.duties(p.life) })
 	p.tasks.Go(func() error { p.lobby.keep(p.life); return nil })
 	p.tasks.Go(func() error { p.reloads(reload); return nil })
-	p.tasks.Go(func() error { p.peers.hear(p.router); return nil })
+	p.tasks.Go(func() error { p.peers.hear(p.router, func() { p.ready.told(p.router) }); return nil })
 	if p.confined != nil {
 		p.tasks.Go(func() error { return p.confined.run(p.life) })
 	}
--- a/internal/program/readiness.go
+++ b/internal/program/readiness.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"maps"
 	"sync"
 
 	"sedgespread/internal/protocol"
@@ -8,7 +9,8 @@
 	"sedgespread/rules"
 )
 
-// readiness is reached once discovery has been asked and each member it serves has been probed, if probes are made.
+// readiness is reached once discovery has been asked and each member it serves has been probed, or told
+// of by a fellow driver, if probes are made.
 type readiness struct {
 	reached chan struct{}
 
@@ -34,6 +36,17 @@
 	}
 }
 
+// told looks whether fellow drivers told of members that are waited for.
+func (r *readiness) told(router *routing.Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		return
+	}
+	maps.DeleteFunc(r.await, func(m rules.MemberID, _ bool) bool { return router.Met(m) })
+	r.check()
+}
+
 // listed notes what discovery told; nothing where it could not be asked: what was known before must do.
 func (r *readiness) listed(router *routing.Router, t protocol.Targets) {
 	r.mu.Lock()
@@ -43,7 +56,7 @@
 	}
 	for _, e := range t.Entries {
 		m, known := router.Member(e.ID)
-		if known && router.Probes() && e.Lifecycle == protocol.Serving && !r.seen[m] {
+		if known && router.Probes() && e.Lifecycle == protocol.Serving && !r.seen[m] && !router.Met(m) {
 			r.await[m] = true
 		}
 	}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -30,6 +30,7 @@
 	Group     int64     `json:"cell"`
 	State     string    `json:"lifecycle"`
 	Started   float64   `json:"startedAtMs"`
+	Weight    float64   `json:"weight"` // its size, 0 where the list does not say
 	Lifecycle Lifecycle `json:"-"`
 }
 
@@ -60,6 +61,8 @@
 			return fmt.Errorf("instances.%d.instanceId is missing", i)
 		case e.Address == "" && life != Deleted:
 			return fmt.Errorf("instances.%d.hostPort is missing", i)
+		case e.Weight < 0:
+			return fmt.Errorf("instances.%d.weight=%v is less than nothing", i, e.Weight)
 		case e.Started < 0 || e.Started > mostMillis:
 			return fmt.Errorf("instances.%d.startedAtMs=%v is out of range", i, e.Started)
 		}
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -229,22 +229,29 @@
 
 // Guards against news that mean something else at the driver that hears them.
 func FuzzNews(f *testing.F) {
-	one := News{Member: 1 << 48, Role: 2, Position: 1767225600123, Took: 81}
-	f.Add(string(AppendNews(nil, one)))
-	f.Add(string(AppendNews(AppendNews(nil, News{}), one)))
+	const now = 1767225600123
+	one := News{Member: 1<<32 - 1, Role: 2, Position: now - 4711, Took: 81}
+	f.Add(string(AppendNews(nil, one, now)))
+	f.Add(string(AppendNews(AppendNews(nil, News{Position: now + 20}, now), one, now)))
 	f.Add("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff")
+	told, ok := ParseNews(AppendNews(AppendNews(nil, News{Position: now - mostAge - 1}, now), one, now), now+1500)
+	require.True(f, ok)
+	require.Equal(f, []News{one}, told, "what is too old is left out, and what was told means the same a little later")
 	f.Fuzz(func(t *testing.T, text string) {
-		news, ok := ParseNews([]byte(text))
+		news, ok := ParseNews([]byte(text), now)
 		if !ok {
 			return
 		}
 		var again []byte
 		for _, n := range news {
 			before := len(again)
-			again = AppendNews(again, n)
+			again = AppendNews(again, n, now)
+			if len(again) == before { // too far from now to be told
+				return
+			}
 			require.LessOrEqual(t, len(again)-before, newsBytes)
 		}
-		same, ok := ParseNews(again)
+		same, ok := ParseNews(again, now)
 		require.True(t, ok || len(again) > MessageBytes)
 		if ok {
 			require.Equal(t, news, same)
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -12,20 +12,20 @@
 type registry struct {
 	numbers map[string]rules.MemberID
 	known   map[rules.MemberID]*listed
-	byKey   map[uint64]rules.MemberID
+	byKey   map[uint32]rules.MemberID // 0 where two members have one key: news of them are passed over
 	last    rules.MemberID
 }
 
 // listed is what the list says of a member.
 type listed struct {
 	name    string
-	key     uint64 // the same at every driver
+	key     uint32 // the same at every driver
 	address string
 }
 
 func newRegistry() registry {
 	return registry{numbers: map[string]rules.MemberID{}, known: map[rules.MemberID]*listed{},
-		byKey: map[uint64]rules.MemberID{}}
+		byKey: map[uint32]rules.MemberID{}}
 }
 
 // number gives a member's number, a new one for a member not known.
@@ -34,10 +34,15 @@
 	if !known {
 		r.last++
 		id = r.last
-		hash := fnv.New64a()
+		hash := fnv.New32a()
 		hash.Write([]byte(name))
-		l := &listed{name: name, key: hash.Sum64() & protocol.MostMember}
-		r.numbers[name], r.known[id], r.byKey[l.key] = id, l, id
+		l := &listed{name: name, key: hash.Sum32()}
+		r.numbers[name], r.known[id] = id, l
+		if _, shared := r.byKey[l.key]; shared {
+			r.byKey[l.key] = 0
+		} else {
+			r.byKey[l.key] = id
+		}
 	}
 	return id
 }
@@ -71,5 +76,5 @@
 		r.known[id].address = t.Address
 	}
 	return rules.Listing{Member: id, Group: rules.GroupID(t.Group), Zone: t.Zone, State: lifecycles[t.Lifecycle],
-		Started: int64(t.Started) * milli}
+		Started: int64(t.Started) * milli, Size: t.Weight}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -89,7 +89,7 @@
 
 // ReportNews reports a fellow driver's message, and tells whether it was one.
 func (r *Router) ReportNews(message []byte) bool {
-	told, ok := protocol.ParseNews(message)
+	told, ok := protocol.ParseNews(message, r.now()/milli)
 	if !ok {
 		return false
 	}
@@ -97,8 +97,8 @@
 	defer r.mu.Unlock()
 	var news []rules.News
 	for _, n := range told {
-		if id, known := r.registry.byKey[n.Member]; known {
-			news = append(news, rules.News{Member: id, Took: n.Took * milli,
+		if id := r.registry.byKey[n.Member]; id != 0 {
+			news = append(news, rules.News{Member: id, Took: n.Took * milli, Failed: n.Failed,
 				Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: n.Position * milli}})
 		}
 	}
@@ -172,5 +172,12 @@
 	return id, known
 }
 
+// Met tells whether anything was heard of a member, from itself or from a fellow driver.
+func (r *Router) Met(id rules.MemberID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.driver.Met(id)
+}
+
 // Probes tells whether members are probed.
 func (r *Router) Probes() bool { return r.allowed.Probes }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -209,7 +209,7 @@
 		case Look:
 			one.ReportLook(duty.Member, ok(position, duty.Address == "at-a"))
 		case Spread:
-			news, _ := protocol.ParseNews(duty.Message)
+			news, _ := protocol.ParseNews(duty.Message, position)
 			told += len(news)
 			require.True(t, other.ReportNews(duty.Message))
 		}
@@ -219,6 +219,21 @@
 	require.False(t, other.ReportNews([]byte("\xff")))
 }
 
+// Guards against news of one member that are taken for another's, where both have the same key.
+func TestMembersWithOneKey(t *testing.T) {
+	r := begin(t, "a", "b")
+	a, _ := r.Member("a")
+	r.registry.byKey[r.registry.known[a].key] = 0 // as the second member of that key leaves it
+	now := r.now() / milli
+	message := protocol.AppendNews(nil, protocol.News{Member: r.registry.known[a].key, Role: 1, Position: now}, now)
+	require.True(t, r.ReportNews(message))
+	require.False(t, r.Met(a))
+	b := r.registry.number("b")
+	delete(r.registry.numbers, "b")
+	require.NotEqual(t, b, r.registry.number("b"), "a name that comes anew")
+	require.Zero(t, r.registry.byKey[r.registry.known[b].key], "and shares the key with the one before")
+}
+
 // Guards against timers that run early, late behind others, or out of the order in which they were set.
 func TestTimersRunInOrder(t *testing.T) {
 	var q timers
--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -38,6 +38,7 @@
 		State:   briefing.Choice(f, "stageState", f.Text("stageState"), states),
 		Started: f.Time("bootTimeUs"),
 		Primary: f.NumberOr("head", 0) == 1,
+		Size:    f.NumberOr("size", 0),
 	}
 }
 
--- a/internal/simwire/news.go
+++ b/internal/simwire/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/base64"
-	"math"
 
 	"sedgespread/internal/briefing"
 	"sedgespread/internal/protocol"
@@ -15,8 +14,8 @@
 func (d *driver) Tell(news []rules.News) {
 	var content []byte
 	for _, n := range news {
-		content = protocol.AppendNews(content, protocol.News{Member: uint64(n.Member), Role: uint8(n.Role),
-			Position: (n.Position - d.epoch) / milli, Took: n.Took / milli})
+		content = protocol.AppendNews(content, protocol.News{Member: uint32(n.Member), Role: uint8(n.Role),
+			Position: (n.Position - d.epoch) / milli, Took: n.Took / milli, Failed: n.Failed}, (d.w.now-d.epoch)/milli)
 	}
 	d.begin("SIGNAL").words("addressee", "all").words("content", base64.StdEncoding.EncodeToString(content)).send()
 }
@@ -30,11 +29,10 @@
 	if f.Err != nil {
 		return
 	}
-	told, ok := protocol.ParseNews(content)
+	told, ok := protocol.ParseNews(content, (d.w.now-d.epoch)/milli)
 	news := d.w.news[:0]
 	for _, n := range told {
-		ok = ok && n.Member <= math.MaxUint32
-		news = append(news, rules.News{Member: rules.MemberID(n.Member), Took: n.Took * milli,
+		news = append(news, rules.News{Member: rules.MemberID(n.Member), Took: n.Took * milli, Failed: n.Failed,
 			Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: d.epoch + n.Position*milli}})
 	}
 	if d.w.news = news; ok {
--- a/rules/api.go
+++ b/rules/api.go
@@ -61,7 +61,8 @@
 type News struct {
 	Member MemberID
 	Sighting
-	Took int64 // a recent answer time, 0 for none
+	Took   int64 // a recent answer time, 0 for none
+	Failed bool  // the last answer was an error
 }
 
 // Store says how the members replicate and what they check.
@@ -121,6 +122,7 @@
 	State   State
 	Started int64 // on the driver's clock, 0 for long ago
 	Primary bool
+	Size    float64 // how much it can do beside others, more or less; 0 where the list does not say
 }
 
 // Role of a member in its group.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,12 +16,16 @@
 	shortestProbe = 100 * ms // a position is old after half of the smallest bound, kept within these
 	longestProbe  = 250 * ms
 	rarestProbe   = 10 * sec // most time between own probes of a member
-	newsApart     = 8 * ms   // a driver hears no more than one message of its fellows in this time
+	newsApart     = 3 * ms   // a driver hears no more than one message of its fellows in this time
+	newsRare      = 8 * ms   // nor need they be rarer than this
+	newsFor       = 12.0     // else a driver sends one for so many RPCs that it takes
+	newcomers     = 8 * ms   // of many drivers that start one looks at a member for the first time in this time
 	hush          = 150 * ms // a probe unanswered for so long makes its member silent
 	longHush      = sec      // after so long a silence a member may have restarted
 	handover      = 200 * ms // a member that turned a write away is not believed primary again for so long
 	window        = 15 * ms  // width of the latency window above the fastest
 	wideWindow    = 0.25     // and this share of the fastest on top
+	widest        = 1.0      // or this, of many drivers, to each of which answer times are little more than chance
 	fullRest      = 40 * ms  // a member that turned work away is left alone so long
 	scarceFor     = 2 * sec  // connections are scarce so long after a live member refused one
 	forgetAfter   = 60 * sec // members that left and commits of sessions are kept so long
@@ -34,9 +38,12 @@
 	savedUp       = 2.0      // call-outs of a group for which a cold member's share is saved up
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
+	crowded       = 1.3      // or so many times, of many drivers
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
 	quick         = 0.2      // strain below which what is overdue was lost, not slow
 	strikesOut    = 3        // call-outs lost in a row that set a member aside
+	wrongShare    = 0.2      // of an answer in the smoothed share of errors
+	wrongFor      = 10 * sec // errors count ever less, and no more after this time
 	overtakers    = 2        // answers out of turn that show a call-out lost or heavy, and its member sound
 )
 
@@ -78,6 +85,9 @@
 			m = d.add(l, float64(firstTook), float64(firstGap), d.first)
 		}
 		d.listed(m, l.State)
+		if l.Size > 0 || d.size[m] == 0 {
+			d.size[m] = cmp.Or(l.Size, 1)
+		}
 		d.started[m] = max(d.started[m], l.Started)
 		if g := d.of[m]; l.Primary && g.primary == nobody && d.role[m] == RoleUnknown {
 			g.primary = m
@@ -99,7 +109,11 @@
 		if d.allowed.Probes && d.crew.News == 0 {
 			d.probeLoop(m)
 		} else if d.allowed.Probes { // the first to look tells the others
-			d.host.After(d.rng.Int63n(ms*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
+			apart := ms
+			if d.many() {
+				apart = newcomers
+			}
+			d.host.After(d.rng.Int63n(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
 		}
 	}
 }
@@ -127,8 +141,12 @@
 		return
 	}
 	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-d.learned[m]
+	enough := wait
 	here := d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly
-	if here && (d.silent[m] || d.learned[m] == 0 || d.old(m) && age >= min(wait, 2*d.due)) {
+	if d.crew.News == 0 || !d.many() {
+		enough = min(wait, 2*d.due)
+	}
+	if here && (d.silent[m] || d.learned[m] == 0 || d.old(m) && age >= enough) {
 		d.probe(m)
 	} else if age < d.due {
 		wait -= age
@@ -177,14 +195,16 @@
 		return
 	}
 	d.telling = true
-	d.host.After(d.told+max(d.interval, newsApart*int64(d.crew.Drivers))-d.host.Now(), func() {
+	crew := int64(d.crew.Drivers)
+	apart := min(newsRare*crew, max(newsApart*crew, int64(newsFor*d.gap)))
+	d.host.After(d.told+max(d.interval, apart)-d.host.Now(), func() {
 		d.telling = false
 		var news []News
 		for m, untold := range d.untold {
 			d.untold[m] = false
 			if untold && len(news) < d.crew.News && d.host.Now()-d.learned[m] < d.due {
-				news = append(news, News{d.ids[m], Sighting{Role: d.role[m], Position: d.pos[m]}, d.answered[m]})
-				d.answered[m] = 0
+				news = append(news, News{d.ids[m], Sighting{Role: d.role[m], Position: d.pos[m]}, d.answered[m], d.erred[m]})
+				d.answered[m], d.erred[m] = 0, false
 			}
 		}
 		if len(news) > 0 {
@@ -203,6 +223,9 @@
 			if n.Took > 0 {
 				d.learn(m, float64(n.Took), d.soft)
 			}
+			if n.Took > 0 || n.Failed {
+				d.fares(m, n.Failed)
+			}
 			if d.silent[m] { // it has moved on: look for ourselves, not all at once
 				d.host.After(d.rng.Int63n(hush), func() { d.probe(m) })
 			}
@@ -313,7 +336,7 @@
 	look := d.first <= 1 && c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
 		switch {
-		case m == p || !d.store.Guarded && !d.atEase(m, c) || !d.fits(m, c, 1) || slices.Contains(c.tried, m):
+		case m == p || (!d.store.Guarded || d.many()) && !d.atEase(m, c) || !d.fits(m, c, 1) || slices.Contains(c.tried, m):
 		case d.fresh(m, c):
 			passers = append(passers, m)
 		case look && d.old(m):
@@ -327,10 +350,14 @@
 	if c.isRead() {
 		share, again = readShare, !slices.Contains(c.tried, p)
 	}
+	jam := jammed
+	if d.many() {
+		jam = crowded
+	}
 	primary := p != nobody && again && d.pos[p] >= c.Floor && d.atEase(p, c) && d.fits(p, c, share)
 	for primary || len(passers) > 0 {
 		m := d.windowed(passers, c.looked)
-		if m == nobody || primary && d.cost(p)*jammed < d.cost(m) {
+		if m == nobody || primary && d.cost(p)*jam < d.cost(m) {
 			m = p
 		} else if !d.fresh(m, c) {
 			c.looked, c.looks = m, c.looks+1
@@ -361,7 +388,8 @@
 	return inTime && float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.usable(m) && d.mayRepeat(c, m)
 }
 
-// windowed picks at random among passers in the latency window; one that was looked at is the pick already.
+// windowed picks at random among passers in the latency window, by what each can do; one that was looked at is
+// the pick already. Guards small members beside large ones, and whoever looked fastest to all drivers at once.
 func (d *Driver) windowed(passers []member, looked member) member {
 	if len(passers) == 0 {
 		return nobody
@@ -370,21 +398,49 @@
 		return looked
 	}
 	best := slices.MinFunc(passers, func(a, b member) int { return cmp.Compare(d.cost(a), d.cost(b)) })
-	limit, in := d.cost(best)*(1+wideWindow)+float64(window), []member(nil)
-	for _, m := range passers {
+	wide := wideWindow
+	if d.many() {
+		wide = widest
+	}
+	limit, lots, sum := d.cost(best)*(1+wide)+float64(window), make([]float64, len(passers)), 0.0
+	for i, m := range passers {
 		if d.cost(m) <= limit {
-			in = append(in, m)
+			lots[i] = d.size[m] / (d.cost(m) * d.cost(m))
+			sum += lots[i]
+		}
+	}
+	lot, last := d.rng.Float64()*sum, best
+	for i, m := range passers {
+		if lots[i] > 0 {
+			if last = m; lot < lots[i] {
+				break
+			}
+			lot -= lots[i]
 		}
 	}
-	return in[d.rng.Intn(len(in))]
+	return last
 }
 
-func (d *Driver) cost(m member) float64 { return d.took[m] * (1 + float64(d.out[m])) } // expected time
+// cost is the time to expect until a member has served: what fails has to be sent again.
+func (d *Driver) cost(m member) float64 {
+	faded := max(0, 1-float64(d.host.Now()-d.wrong[m])/float64(wrongFor))
+	return d.took[m] * (1 + float64(d.out[m])) / (1.01 - d.errors[m]*faded)
+}
+
+// fares learns how often a member answers with errors, by its own answers and by what fellow drivers tell. Guards
+// against members that fail fast, which look the fastest of all; one that has not failed for a while is tried again.
+func (d *Driver) fares(m member, failed bool) {
+	d.errors[m] *= 1 - wrongShare
+	if failed {
+		d.errors[m] += wrongShare
+		d.wrong[m] = d.host.Now()
+	}
+}
 
 // usable tells whether a member may get anything at all.
 func (d *Driver) usable(m member) bool {
 	gone := d.state[m] == Draining || d.state[m] == Gone && !d.notice.DrainOnly
-	met := d.heard[m] != 0 || d.learned[m] != 0 || !d.allowed.Probes // guards against strangers in the list
+	met := d.met(m) || !d.allowed.Probes // guards against strangers in the list
 	return met && !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
@@ -445,6 +501,11 @@
 		d.callOut(c, m)
 		return
 	}
+	for _, m := range c.group.members { // nobody told of it yet
+		if d.allowed.Probes && d.many() && !d.met(m) {
+			d.probe(m)
+		}
+	}
 	c.held = true
 	c.group.held = append(c.group.held, c)
 	d.recheck(c)
@@ -622,12 +683,16 @@
 	switch cause := r.Cause; {
 	case cause == NoConnect:
 		d.noConnection(m, now)
-	case cause == TimedOut && now-d.heard[m] >= d.due:
+	case cause == TimedOut && now-d.heard[m] >= d.due && (!d.many() || d.strain[m] <= quick || d.lost[m] > 0):
 		d.probe(m)
 	case cause == NoCause || cause == Errored || cause == Missed || cause == Full:
 		d.alive(m, r.Opened)
 		d.sighted(m, r.Sighting, true)
 	}
+	if r.Proof == OK || r.Cause == Errored {
+		d.fares(m, r.Cause == Errored)
+		d.erred[m] = r.Cause == Errored
+	}
 	switch {
 	case !long && now-d.timed[m] < hush && (r.Cause == Errored || r.Cause == Reset): // it finishes others
 	case r.Cause == Errored || r.Cause == Reset || long && (r.Cause == TimedOut || r.Cause == Cancelled):
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -67,6 +67,7 @@
 	closes  int
 	forgot  int
 	told    []rules.News
+	tells   int
 	methods []rules.Method
 	crew    rules.Crew
 	store   rules.Store
@@ -95,7 +96,11 @@
 func (p *player) Forget(rules.MemberID)    { p.forgot++ }
 func (p *player) Watch()                   { p.watches++ }
 func (p *player) Log(string)               {}
-func (p *player) Tell(news []rules.News)   { p.told = append(p.told, news...) }
+
+func (p *player) Tell(news []rules.News) {
+	p.told = append(p.told, news...)
+	p.tells++
+}
 
 func (p *player) PushBack(id rules.RPCID, _ int64) { p.final(id, "pushed-back") }
 func (p *player) Abort(id rules.RPCID)             { p.final(id, "aborted") }
@@ -192,6 +197,7 @@
 		if _, took, slow := strings.Cut(w[len(w)-1], "took="); slow {
 			n.Took = p.span(took)
 		}
+		n.Failed = w[len(w)-1] == "failed"
 		p.d.Told([]rules.News{n})
 	case "unlisted":
 		p.d.ListFailed()
@@ -271,7 +277,9 @@
 			case "cold":
 				l.Started = p.now
 			default:
-				require.Fail(p.t, p.at)
+				size, sized := strings.CutPrefix(part, "size=")
+				require.True(p.t, sized, p.at)
+				l.Size = float64(p.number(size))
 			}
 		}
 		lines = append(lines, l)
@@ -375,11 +383,12 @@
 		low, high, _ := strings.Cut(w[2], "..")
 		require.GreaterOrEqual(p.t, p.sent[p.number(w[1])], p.number(low), p.at)
 		require.LessOrEqual(p.t, p.sent[p.number(w[1])], p.number(high), p.at)
-	case "watches", "probes", "closes", "forgets": // so many so far
-		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes, "forgets": p.forgot}
+	case "watches", "probes", "closes", "forgets", "messages": // so many so far
+		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes, "forgets": p.forgot,
+			"messages": p.tells}
 		require.Equal(p.t, p.number(w[1]), counts[w[0]], p.at)
 	case "tells":
-		require.True(p.t, slices.ContainsFunc(p.told, func(n rules.News) bool { return int(n.Member) == p.number(w[1]) }), p.at)
+		require.True(p.t, slices.ContainsFunc(p.told, func(n rules.News) bool { return int(n.Member) == p.number(w[1]) && n.Failed == (len(w) > 2) }), p.at)
 	default:
 		require.Fail(p.t, p.at)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -18,6 +18,7 @@
 	of      []*group
 	zone    []string
 	state   []State
+	size    []float64
 	kept    []bool   // member of its group, looked at by a probe loop where probes are allowed
 	keeping int      // members that are
 	free    []member // places of members that were dropped
@@ -35,6 +36,7 @@
 	telling                      bool
 	untold                       []bool
 	answered                     []int64 // answer time not yet told
+	erred                        []bool  // and whether the last answer was an error
 }
 
 // health is how members answer this driver.
@@ -44,6 +46,8 @@
 	out, lost, refused   []int     // call-outs out, and those lost and refused in a row
 	first                float64   // room before answers teach better
 	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
+	errors               []float64 // smoothed share of answers that were errors
+	wrong                []int64   // when the last of them came
 	since                []int64   // when it fell silent
 	timed                []int64   // when its answer time was last learned
 	scarce               int64     // until when connections are
@@ -118,10 +122,10 @@
 	blank(m, &d.state)
 	blank(m, &d.role)
 	blank(m, &d.started, &d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed, &d.answered,
-		&d.timed, &d.borne, &d.since)
-	blank(m, &d.silent, &d.back, &d.untold, &d.missed, &d.kept)
+		&d.timed, &d.borne, &d.since, &d.wrong)
+	blank(m, &d.silent, &d.back, &d.untold, &d.missed, &d.kept, &d.erred)
 	blank(m, &d.out, &d.lost, &d.refused)
-	blank(m, &d.room, &d.took, &d.strain)
+	blank(m, &d.room, &d.took, &d.strain, &d.size, &d.errors)
 	return m
 }
 
@@ -152,6 +156,17 @@
 	return count
 }
 
+// Met tells whether anything was heard of a member, from itself or from a fellow driver.
+func (d *Driver) Met(id MemberID) bool {
+	m, known := d.index[id]
+	return known && d.met(m)
+}
+
+func (d *Driver) met(m member) bool { return d.heard[m] != 0 || d.learned[m] != 0 }
+
+// many tells whether this is one of so many drivers that it sees little of a member by itself.
+func (d *Driver) many() bool { return d.first <= 1 }
+
 // Reached tells whether all of a group's members that answer and are to serve, its primary among them, were seen at a
 // position or past it.
 func (d *Driver) Reached(id GroupID, position int64) bool {
