--- a/rules/rules.go
+++ b/rules/rules.go
@@ -85,8 +85,8 @@
 			m = d.add(l, float64(firstTook), float64(firstGap), d.first)
 		}
 		d.listed(m, l.State)
-		if l.Size > 0 || d.size[m] == 0 {
-			d.size[m] = cmp.Or(l.Size, 1)
+		if l.Size > 0 {
+			d.size[m] = l.Size
 		}
 		d.listing[m] = max(d.listing[m], l.Started)
 		d.started[m] = max(d.started[m], l.Started)
@@ -110,10 +110,7 @@
 		if d.allowed.Probes && d.crew.News == 0 {
 			d.probeLoop(m)
 		} else if d.allowed.Probes { // the first to look tells the others
-			apart := ms
-			if d.many() {
-				apart = newcomers
-			}
+			apart := fewOrMany(d, ms, newcomers)
 			d.host.After(d.rng.Int63n(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
 		}
 	}
@@ -349,7 +346,7 @@
 func (d *Driver) pick(c *call) member {
 	g, p := c.group, c.group.primary
 	var passers, unknown []member
-	look := d.first <= 1 && c.looks < mostLooks && c.isRead() && d.allowed.Probes
+	look := d.many() && c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
 		switch {
 		case m == p || (!d.store.Guarded || d.many()) && !d.atEase(m, c):
@@ -367,10 +364,7 @@
 	if c.isRead() {
 		share, again = readShare, !slices.Contains(c.tried, p)
 	}
-	jam := jammed
-	if d.many() {
-		jam = crowded
-	}
+	jam := fewOrMany(d, jammed, crowded)
 	primary := p != nobody && again && d.pos[p] >= c.Floor && d.atEase(p, c) && d.fits(p, c, share)
 	for primary || len(passers) > 0 {
 		m := d.windowed(passers, c.looked)
@@ -395,7 +389,7 @@
 // Guards the primary, and replicas that answer whatever they hold, which fall behind when they are crowded.
 func (d *Driver) atEase(m member, c *call) bool {
 	age := float64(d.host.Now()-d.timed[m]) / float64(sec)
-	return d.first > 1 || !c.isRead() || d.strain[m] < (quick+c.lot*(2*strained-quick))*(1+age)
+	return !d.many() || !c.isRead() || d.strain[m] < (quick+c.lot*(2*strained-quick))*(1+age)
 }
 
 // fits tells whether a member may get a call-out of an RPC: it has room, and is expected to answer while that
@@ -414,28 +408,19 @@
 	if slices.Contains(passers, looked) {
 		return looked
 	}
-	best := slices.MinFunc(passers, func(a, b member) int { return cmp.Compare(d.cost(a), d.cost(b)) })
-	wide := wideWindow
-	if d.many() {
-		wide = widest
-	}
-	limit, lots, sum := d.cost(best)*(1+wide)+float64(window), make([]float64, len(passers)), 0.0
+	costs, lots, sum := make([]float64, len(passers)), make([]float64, len(passers)), 0.0
 	for i, m := range passers {
-		if d.cost(m) <= limit {
-			lots[i] = d.size[m] / (d.cost(m) * d.cost(m))
-			sum += lots[i]
-		}
+		costs[i] = d.cost(m)
 	}
-	lot, last := d.rng.Float64()*sum, best
+	limit := slices.Min(costs)*(1+fewOrMany(d, wideWindow, widest)) + float64(window)
 	for i, m := range passers {
-		if lots[i] > 0 {
-			if last = m; lot < lots[i] {
-				break
-			}
-			lot -= lots[i]
+		if costs[i] <= limit {
+			sum += d.size[m] / (costs[i] * costs[i])
 		}
+		lots[i] = sum
 	}
-	return last
+	lot := sum * (1 - d.rng.Float64()) // more than 0, so that none outside the window is drawn
+	return passers[slices.IndexFunc(lots, func(upTo float64) bool { return lot <= upTo })]
 }
 
 // cost is the time to expect until a member has served: what fails has to be sent again.
--- a/rules/state.go
+++ b/rules/state.go
@@ -170,6 +170,14 @@
 // many tells whether this is one of so many drivers that it sees little of a member by itself.
 func (d *Driver) many() bool { return d.first <= 1 }
 
+// fewOrMany gives what holds for a driver of few, or else for one of many.
+func fewOrMany[T any](d *Driver, few, many T) T {
+	if d.many() {
+		return many
+	}
+	return few
+}
+
 // Reached tells whether all of a group's members that answer and are to serve, its primary among them, were seen at a
 // position or past it.
 func (d *Driver) Reached(id GroupID, position int64) bool {
@@ -220,7 +228,7 @@
 	}
 	d.index[l.Member] = m
 	d.ids[m], d.of[m], d.zone[m], d.state[m], d.started[m] = l.Member, g, l.Zone, l.State, l.Started
-	d.room[m], d.took[m] = room, g.took
+	d.room[m], d.took[m], d.size[m] = room, g.took, 1
 	return m
 }
 
