--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"sedgespread/internal/protocol"
+	"sedgespread/internal/briefing"
 	"sedgespread/rules"
 )
 
@@ -49,12 +49,7 @@
 func (h *host) Watch() { h.add(Follow{}) }
 
 func (h *host) Tell(news []rules.News) {
-	var message []byte
-	for _, n := range news {
-		message = protocol.AppendNews(message, protocol.News{Member: h.registry.known[n.Member].key, Role: uint8(n.Role),
-			Position: n.Position / milli, Took: n.Took / milli, Failed: n.Failed, Ran: n.Ran / second}, h.Now()/milli)
-	}
-	h.add(Spread{Message: message})
+	h.add(Spread{Message: briefing.Message(news, h.registry.key, 0, h.Now())})
 }
 
 func (h *host) Log(line string) { h.log.Info(line) }
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -47,6 +47,15 @@
 	return id
 }
 
+// key is what all drivers call a member that is known here.
+func (r *registry) key(id rules.MemberID) uint32 { return r.known[id].key }
+
+// member is the member of a key, if it is the only one known here.
+func (r *registry) member(key uint32) (id rules.MemberID, known bool) {
+	id = r.byKey[key]
+	return id, id != 0
+}
+
 // forget forgets a member.
 func (r *registry) forget(id rules.MemberID) {
 	if l := r.known[id]; l != nil {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -16,10 +16,7 @@
 	"sedgespread/rules"
 )
 
-const (
-	milli  = int64(time.Millisecond)
-	second = int64(time.Second)
-)
+const milli = int64(time.Millisecond)
 
 // Router is the facade.
 type Router struct {
@@ -98,21 +95,13 @@
 
 // ReportNews reports a fellow driver's message, and tells whether it was one.
 func (r *Router) ReportNews(message []byte) bool {
-	told, ok := protocol.ParseNews(message, r.now()/milli)
-	if !ok {
-		return false
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var news []rules.News
-	for _, n := range told {
-		if id := r.registry.byKey[n.Member]; id != 0 {
-			news = append(news, rules.News{Member: id, Took: n.Took * milli, Failed: n.Failed, Ran: n.Ran * second,
-				Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: n.Position * milli}})
-		}
+	news, ok := briefing.News(message, r.registry.member, 0, r.now())
+	if ok {
+		r.driver.Told(news)
 	}
-	r.driver.Told(news)
-	return true
+	return ok
 }
 
 // ReportLook reports what a probe found.
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -21,9 +21,8 @@
 	in             *bufio.Reader
 	out            *bufio.Writer
 	line           int
-	briefing.Parts              // of the line read last
-	text           []byte       // of the line being written
-	news           []rules.News // read last
+	briefing.Parts        // of the line read last
+	text           []byte // of the line being written
 	now            int64
 	pages          map[int64][]rules.Listing
 	drivers        map[int64]*driver
