A witness is taken after the probe, not before and given back; a test that doubt leaves it alone

lookAnew took the connection left over before the probe and gave it back where that failed; the pool now gives the one left alone longest, so that it is taken when needed, as before the pools were shared. A read also showed that no test failed without the doubt about a member that did not answer; one does now. The test on messages' lengths moved to its package, and two tests that opened a datagram address each in the same way share it.

--- a/internal/program/fellows_test.go
+++ b/internal/program/fellows_test.go
@@ -1,9 +1,9 @@
 package program_test
 
 import (
+	"context"
 	"hash/fnv"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -24,39 +24,39 @@
 	require.LessOrEqual(t, len(primary.conns), 2)
 }
 
-// Guards against a driver of a large fleet that is not ready before it has probed each member, though its fellows tell
-// of them all, and against one that probes them all the same.
-func TestReadyByFellowsNews(t *testing.T) {
-	primary := newMember(t, "p", "leader")
-	d := newDiscovery(t, primary)
+// peered makes a posting one of so many drivers that may tell one another something, and gives where this one hears it.
+func peered(t *testing.T, drivers int) (change func(file map[string]any), address string) {
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
-	address := socket.LocalAddr().String()
+	address = socket.LocalAddr().String()
 	socket.Close()
-	env := posting(t, d, func(file map[string]any) {
+	return func(file map[string]any) {
 		file["peer_listen"], file["peers_all"] = address, address
 		settings := file["settings"].(map[string]any)
-		settings["fleetSize"] = 2000
+		settings["fleetSize"] = drivers
 		settings["limits"].(map[string]any)["peerMessages"] = true
-	})
+	}, address
+}
+
+// Guards against a driver of a large fleet that is not ready before it has probed each member, though its fellows tell
+// of them all, and against one that probes them all the same.
+func TestReadyByFellowsNews(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	change, address := peered(t, 2000)
+	env := posting(t, newDiscovery(t, primary), change)
 	cmd, _ := command(t, env)
 	require.NoError(t, cmd.Start())
 	fellow, err := net.Dial("udp", address)
 	require.NoError(t, err)
 	defer fellow.Close()
 	key := fnv.New32a()
-	key.Write([]byte(d.list()["instances"].([]any)[0].(map[string]any)["instanceId"].(string)))
-	stop := make(chan struct{})
-	defer close(stop)
+	key.Write([]byte(primary.name))
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
 	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(20 * time.Millisecond):
-				now := time.Now().UnixMilli()
-				fellow.Write(protocol.AppendNews(nil, protocol.News{Member: key.Sum32(), Role: 1, Position: now}, now))
-			}
+		for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+			now := time.Now().UnixMilli()
+			fellow.Write(protocol.AppendNews(nil, protocol.News{Member: key.Sum32(), Role: 1, Position: now}, now))
 		}
 	}()
 	c := (&driver{address: env["GW_LISTEN"]}).client(t)
@@ -68,11 +68,3 @@
 	primary.mu.Unlock()
 	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
 }
-
-// Guards against a message of another version's form that is taken for one of this.
-func TestMessagesOfAnotherLength(t *testing.T) {
-	for _, length := range []int{1, 7, 9, 257, 264} {
-		_, ok := protocol.ParseNews([]byte(strings.Repeat("\x01", length)), time.Now().UnixMilli())
-		require.False(t, ok, length)
-	}
-}
--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -43,20 +43,14 @@
 	if end != transport.Open {
 		return routing.Outcome{End: end}
 	}
-	old, left := link{}, false
-	if mute {
-		old, left = l.pools.left(to, address)
-	}
 	o := l.ask(by, to, w)
-	if !left {
-		return o
-	}
-	if o.Answer == nil { // not yet: it is left for later
-		l.pools.give(to, old, old.since)
+	if o.Answer == nil || !mute {
 		return o
 	}
-	if again := l.ask(by, to, old); again.Answer != nil {
-		return again
+	if old, left := l.pools.left(to, address); left {
+		if again := l.ask(by, to, old); again.Answer != nil {
+			return again
+		}
 	}
 	return o
 }
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -41,6 +41,16 @@
 	return l.Idle() && l.address == address && time.Since(l.since) < idleFor*9/10
 }
 
+// keptQuiet tells whether nothing came while it was idle. One on which something did is closed: that would be taken for
+// the next answer.
+func (l link) keptQuiet() bool {
+	if l.Quiet() {
+		return true
+	}
+	l.Close(transport.Evicted)
+	return false
+}
+
 func newPools(life context.Context, d *transport.Descriptors, posting *Posting) *pools {
 	return &pools{life: life, d: d, connectWithin: posting.ConnectWithin, idleFor: posting.IdleFor,
 		mostAnswer: int(posting.MemoryMB << 20 / answerShare), idle: map[rules.MemberID][]link{},
@@ -112,24 +122,28 @@
 	return p.take(to, address, p.leave(to))
 }
 
-// left takes the idle connection to a member that was left alone.
+// left takes the idle connection to a member that was left alone longest, if the one given back last is another.
 func (p *pools) left(to rules.MemberID, address string) (link, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.take(to, address, 0)
+	p.prune(to, func(l link) bool { return !l.good(address, p.idleFor) })
+	if len(p.idle[to]) < 2 {
+		return link{}, false
+	}
+	l := p.idle[to][0]
+	p.idle[to] = p.idle[to][1:]
+	return l, l.keptQuiet()
 }
 
-// take takes the idle connection to a member that was used last, if more than so many are there. One on which
-// something came meanwhile is none: that would be taken for the next answer. The lock is held.
+// take takes the idle connection to a member that was used last, if more than so many are there. The lock is held.
 func (p *pools) take(to rules.MemberID, address string, leave int) (link, bool) {
 	p.prune(to, func(l link) bool { return !l.good(address, p.idleFor) })
 	for last := len(p.idle[to]) - 1; last >= leave; last-- {
 		l := p.idle[to][last]
 		p.idle[to] = p.idle[to][:last]
-		if l.Quiet() {
+		if l.keptQuiet() {
 			return l, true
 		}
-		l.Close(transport.Evicted)
 	}
 	return link{}, false
 }
@@ -171,9 +185,9 @@
 
 // drop lets go of all that is known of a member.
 func (p *pools) drop(to rules.MemberID) {
-	p.shed(to)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.prune(to, func(link) bool { return true })
 	delete(p.doubt, to)
 	delete(p.used, to)
 }
--- /dev/null
+++ b/internal/program/pools_test.go
@@ -0,0 +1,29 @@
+package program
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/transport"
+	"sedgespread/rules"
+)
+
+// Guards against the one connection that could outlive a cut link being spent: by members in steady use, and once
+// something was not answered.
+func TestLastConnectionIsLeftAlone(t *testing.T) {
+	const member = rules.MemberID(1)
+	p := &pools{doubt: map[rules.MemberID]bool{}, used: map[rules.MemberID]time.Time{}}
+	require.Equal(t, 0, p.leave(member), "thin use")
+	p.answered(member, false, transport.TimedOut)
+	require.Equal(t, 1, p.leave(member), "not answered")
+	p.answered(member, false, transport.Cancelled)
+	require.Equal(t, 1, p.leave(member), "nor by what was only called off")
+	p.answered(member, true, transport.Open)
+	require.Equal(t, 0, p.leave(member), "answered")
+	p.used[member] = time.Now()
+	require.Equal(t, 1, p.leave(member), "steady use")
+	p.used[member] = time.Now().Add(-2 * busyFor)
+	require.Equal(t, 0, p.leave(member), "no more")
+}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -338,14 +338,8 @@
 // Guards against datagrams that are no driver's, overlong ones among them, doing more than being counted.
 func TestStrayDatagrams(t *testing.T) {
 	primary := newMember(t, "p", "leader")
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := socket.LocalAddr().String()
-	socket.Close()
-	env := posting(t, newDiscovery(t, primary), func(file map[string]any) {
-		file["peer_listen"], file["peers_all"] = address, address
-		file["settings"].(map[string]any)["limits"].(map[string]any)["peerMessages"] = true
-	})
+	change, address := peered(t, 1)
+	env := posting(t, newDiscovery(t, primary), change)
 	cmd, stderr := command(t, env)
 	require.NoError(t, cmd.Start())
 	c := (&driver{address: env["GW_LISTEN"]}).client(t)
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -258,3 +258,11 @@
 		}
 	})
 }
+
+// Guards against a message of another version's form that is taken for one of this.
+func TestMessagesOfAnotherLength(t *testing.T) {
+	for _, length := range []int{1, 7, 9, 257, 264} {
+		_, ok := ParseNews([]byte(strings.Repeat("\x01", length)), 1767225600123)
+		require.False(t, ok, length)
+	}
+}
