--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run proto results results-cells results-cost results-planner results-flood results-moves results-walk
+.PHONY: standing build test race lint fuzz run proto results results-cells results-cost results-planner results-flood results-moves results-walk
 
 # The platform's own line, so that what is tested is what it runs: linked dynamically against the C library.
 build:
@@ -22,6 +22,12 @@
 run: build
 	exec bin/sedgespread
 
+# The quick standing test of the whole fleet, some minutes alone on the machine; the last lines are the days and the gate.
+# LBREAL is the bench's program for these days and SITE its site file; WHY is one sentence for the journal.
+standing:
+	@test -n "$(LBREAL)" -a -n "$(SITE)" -a -n "$(WHY)" || { echo "make standing LBREAL=... SITE=... WHY=..."; exit 1; }
+	$(LBREAL) score $(SITE) --quick --why "$(WHY)" | grep -E '^[a-z]+(\+mass)? .*gate|^score|^GATE'
+
 # Needs protoc, and protoc-gen-go at the version that go.mod has of google.golang.org/protobuf.
 proto:
 	go generate ./proto
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -230,7 +230,7 @@
 // Guards against news that mean something else at the driver that hears them.
 func FuzzNews(f *testing.F) {
 	const now = 1767225600123
-	one := News{Member: 1<<32 - 1, Role: 2, Position: now - 4711, Took: 81}
+	one := News{Member: 1<<32 - 1, Role: 2, Position: now - 4711, Took: 88, Ran: 17}
 	f.Add(string(AppendNews(nil, one, now)))
 	f.Add(string(AppendNews(AppendNews(nil, News{Position: now + 20}, now), one, now)))
 	f.Add("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff")
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -52,7 +52,7 @@
 	var message []byte
 	for _, n := range news {
 		message = protocol.AppendNews(message, protocol.News{Member: h.registry.known[n.Member].key, Role: uint8(n.Role),
-			Position: n.Position / milli, Took: n.Took / milli, Failed: n.Failed}, h.Now()/milli)
+			Position: n.Position / milli, Took: n.Took / milli, Failed: n.Failed, Ran: n.Ran / second}, h.Now()/milli)
 	}
 	h.add(Spread{Message: message})
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -16,7 +16,10 @@
 	"sedgespread/rules"
 )
 
-const milli = int64(time.Millisecond)
+const (
+	milli  = int64(time.Millisecond)
+	second = int64(time.Second)
+)
 
 // Router is the facade.
 type Router struct {
@@ -63,7 +66,13 @@
 // now is Unix time in nanoseconds that never goes back. The lock need not be held.
 func (r *Router) now() int64 { return r.at(time.Now()) }
 
-func (r *Router) at(t time.Time) int64 { return r.begun.UnixNano() + int64(t.Sub(r.begun)) }
+// at is a moment on the module's clock, 0 for none.
+func (r *Router) at(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return r.begun.UnixNano() + int64(t.Sub(r.begun))
+}
 
 func (r *Router) list(t protocol.Targets) {
 	lines := make([]rules.Listing, 0, len(t.Entries))
@@ -98,7 +107,7 @@
 	var news []rules.News
 	for _, n := range told {
 		if id := r.registry.byKey[n.Member]; id != 0 {
-			news = append(news, rules.News{Member: id, Took: n.Took * milli, Failed: n.Failed,
+			news = append(news, rules.News{Member: id, Took: n.Took * milli, Failed: n.Failed, Ran: n.Ran * second,
 				Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: n.Position * milli}})
 		}
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -219,6 +219,13 @@
 	require.False(t, other.ReportNews([]byte("\xff")))
 }
 
+// Guards against a member that turns a session away, on no connection at all, and is taken for one that ran all along.
+func TestNoConnectionIsNoOldOne(t *testing.T) {
+	r := begin(t, "a")
+	require.Zero(t, r.at(Outcome{End: transport.TurnedAway}.Opened))
+	require.Positive(t, r.at(time.Now()))
+}
+
 // Guards against news of one member that are taken for another's, where both have the same key.
 func TestMembersWithOneKey(t *testing.T) {
 	r := begin(t, "a", "b")
--- a/rules/api.go
+++ b/rules/api.go
@@ -63,6 +63,7 @@
 	Sighting
 	Took   int64 // a recent answer time, 0 for none
 	Failed bool  // the last answer was an error
+	Ran    int64 // it has run for so long at least, by a connection that answered, 0 where not known
 }
 
 // Store says how the members replicate and what they check.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,7 @@
 	handover      = 200 * ms // a member that turned a write away is not believed primary again for so long
 	window        = 15 * ms  // width of the latency window above the fastest
 	wideWindow    = 0.25     // and this share of the fastest on top
-	widest        = 1.0      // or this, of many drivers, to each of which answer times are little more than chance
+	widest        = 1.0      // or this, of many drivers, each of which knows answer times by few
 	fullRest      = 40 * ms  // a member that turned work away is left alone so long
 	scarceFor     = 2 * sec  // connections are scarce so long after a live member refused one
 	forgetAfter   = 60 * sec // members that left and commits of sessions are kept so long
@@ -88,6 +88,7 @@
 		if l.Size > 0 || d.size[m] == 0 {
 			d.size[m] = cmp.Or(l.Size, 1)
 		}
+		d.listing[m] = max(d.listing[m], l.Started)
 		d.started[m] = max(d.started[m], l.Started)
 		if g := d.of[m]; l.Primary && g.primary == nobody && d.role[m] == RoleUnknown {
 			g.primary = m
@@ -203,7 +204,12 @@
 		for m, untold := range d.untold {
 			d.untold[m] = false
 			if untold && len(news) < d.crew.News && d.host.Now()-d.learned[m] < d.due {
-				news = append(news, News{d.ids[m], Sighting{Role: d.role[m], Position: d.pos[m]}, d.answered[m], d.erred[m]})
+				ran := int64(0)
+				if d.opened[m] != 0 {
+					ran = d.heard[m] - d.opened[m]
+				}
+				news = append(news, News{d.ids[m], Sighting{Role: d.role[m], Position: d.pos[m]}, d.answered[m],
+					d.erred[m], ran})
 				d.answered[m], d.erred[m] = 0, false
 			}
 		}
@@ -226,6 +232,7 @@
 			if n.Took > 0 || n.Failed {
 				d.fares(m, n.Failed)
 			}
+			d.ranOn(m, n.Ran)
 			if d.silent[m] { // it has moved on: look for ourselves, not all at once
 				d.host.After(d.rng.Int63n(hush), func() { d.probe(m) })
 			}
@@ -251,10 +258,19 @@
 		d.logf("answers again member=%d after_ms=%d", d.ids[m], (now-d.since[m])/ms)
 		if now-d.since[m] > longHush && (opened == 0 || opened >= d.since[m]) {
 			d.room[m], d.back[m] = 1, true
-			d.started[m] = max(d.started[m], now-hush)
+			d.started[m], d.guessed[m] = max(d.started[m], now-hush), d.since[m]
 		}
 	}
-	d.heard[m] = now
+	d.heard[m], d.opened[m] = now, opened
+}
+
+// ranOn hears from a fellow driver for how long a member has run. Guards against links that were cut: a
+// member that only some drivers could not reach is not cold. A restart that the list tells of stays one.
+func (d *Driver) ranOn(m member, ran int64) {
+	if d.guessed[m] != 0 && !d.silent[m] && d.host.Now()-ran < d.guessed[m] {
+		d.logf("ran on member=%d for_ms=%d", d.ids[m], ran/ms)
+		d.started[m], d.guessed[m] = d.listing[m], 0
+	}
 }
 
 // sighted takes in a role and a position. Positions never go back: an older one comes with an older role.
@@ -336,7 +352,8 @@
 	look := d.first <= 1 && c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
 		switch {
-		case m == p || (!d.store.Guarded || d.many()) && !d.atEase(m, c) || !d.fits(m, c, 1) || slices.Contains(c.tried, m):
+		case m == p || (!d.store.Guarded || d.many()) && !d.atEase(m, c):
+		case !d.fits(m, c, 1) || slices.Contains(c.tried, m):
 		case d.fresh(m, c):
 			passers = append(passers, m)
 		case look && d.old(m):
@@ -388,8 +405,8 @@
 	return inTime && float64(d.out[m]+1) <= max(1, d.room[m]*share) && d.usable(m) && d.mayRepeat(c, m)
 }
 
-// windowed picks at random among passers in the latency window, by what each can do; one that was looked at is
-// the pick already. Guards small members beside large ones, and whoever looked fastest to all drivers at once.
+// windowed picks at random among passers in the latency window, by what each can do; one that was looked at
+// is the pick already. Guards small members beside large ones, and whoever looked fastest to all at once.
 func (d *Driver) windowed(passers []member, looked member) member {
 	if len(passers) == 0 {
 		return nobody
@@ -427,8 +444,9 @@
 	return d.took[m] * (1 + float64(d.out[m])) / (1.01 - d.errors[m]*faded)
 }
 
-// fares learns how often a member answers with errors, by its own answers and by what fellow drivers tell. Guards
-// against members that fail fast, which look the fastest of all; one that has not failed for a while is tried again.
+// fares learns how often a member answers with errors, by its own answers and by what fellows tell. Guards
+// against members that fail fast, which look the fastest of all; one that has not failed for a while is tried
+// again.
 func (d *Driver) fares(m member, failed bool) {
 	d.errors[m] *= 1 - wrongShare
 	if failed {
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -198,6 +198,9 @@
 			n.Took = p.span(took)
 		}
 		n.Failed = w[len(w)-1] == "failed"
+		if ran, known := strings.CutPrefix(w[len(w)-1], "ran="); known {
+			n.Ran = p.span(ran)
+		}
 		p.d.Told([]rules.News{n})
 	case "unlisted":
 		p.d.ListFailed()
--- a/rules/state.go
+++ b/rules/state.go
@@ -57,6 +57,8 @@
 type thawing struct {
 	Thaw
 	started, fed, borne []int64 // fed: when the last lot was drawn; borne: RPCs that were ok
+	listing, guessed    []int64 // start by the list; when a silence began that is taken for a restart
+	opened              []int64 // when the connection was that its last answer came on
 }
 
 type group struct {
@@ -121,8 +123,9 @@
 	blank(m, &d.zone)
 	blank(m, &d.state)
 	blank(m, &d.role)
-	blank(m, &d.started, &d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed, &d.answered,
-		&d.timed, &d.borne, &d.since, &d.wrong)
+	blank(m, &d.started, &d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed,
+		&d.answered, &d.timed, &d.borne, &d.since, &d.wrong,
+		&d.listing, &d.guessed, &d.opened)
 	blank(m, &d.silent, &d.back, &d.untold, &d.missed, &d.kept, &d.erred)
 	blank(m, &d.out, &d.lost, &d.refused)
 	blank(m, &d.room, &d.took, &d.strain, &d.size, &d.errors)
