Watches are renewed within 5 s: short waits, no pause after silence, epochs by address

Logs: drivers say "discovery broke off error=timed out" at 12.04 s, which is the wait of 10 s (askEveryUs) and answerWithin, then pause 0.5 to 2.5 s; requests went out 2.07 to 2.14 s after the drains counted as told. At fault: follow.go askSince (waits as long as the settings allow to go without asking, so a silent watch is noticed only then) and the pause of ListFailed after it. Ruled out: the pools (no line between decision and send took that long) and the module (usable stops at the first word).

Change: a watch waits 2 s at the most, less by lot; one that is late by 1 s is given up and the whole list asked for at once on a new connection. The formula stands beside the constants: 5 s in the worst case, of 6. The pause after a failed call is 0.5 to 2 s (2.5). What tells less than the list held is not applied, and the whole list asked for. An answer is taken in only while its address is still the one to ask (source.accept); before, one that had arrived as SIGHUP moved discovery was. What comes unasked on the connection to discovery ends its use.

TestWatchFallsSilent and TestGenerationGoesBack fail on the former text (at 6 s, and never); TestAnswerFromTheOldAddress forces the order.

--- /dev/null
+++ b/internal/program/follow_test.go
@@ -0,0 +1,49 @@
+package program
+
+import (
+	"context"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/transport"
+)
+
+// Guards against a list from the old address that is applied after the address has changed: its answer was on its way.
+func TestAnswerFromTheOldAddress(t *testing.T) {
+	s := &source{address: "old"}
+	stay, address, ok := s.enter(context.Background())
+	require.True(t, ok)
+	require.Equal(t, "old", address)
+	taken := 0
+	s.accept(stay, func() { taken++ })
+	require.Equal(t, 1, taken)
+	require.False(t, s.move("new"), "somebody asks")
+	s.accept(stay, func() { taken++ })
+	require.Equal(t, 1, taken, "the answer came, and is another's list by now")
+	require.True(t, s.exit(stay))
+	stay, address, ok = s.enter(context.Background())
+	require.True(t, ok)
+	require.Equal(t, "new", address)
+	_, _, ok = s.enter(context.Background())
+	require.False(t, ok, "one asks at a time")
+	s.accept(stay, func() { taken++ })
+	require.Equal(t, 2, taken)
+	require.Equal(t, transport.Open, transport.EndOf(stay))
+}
+
+// Guards against waits that would let a change be known too late, and against all drivers asking at once.
+func TestWaitsOfWatches(t *testing.T) {
+	s := &source{rng: rand.New(rand.NewSource(1))}
+	shortest, longest := time.Hour, time.Duration(0)
+	for range 1000 {
+		wait := s.wait(20 * time.Second)
+		shortest, longest = min(shortest, wait), max(longest, wait)
+		require.LessOrEqual(t, s.wait(time.Second), time.Second, "not longer than the settings have it")
+	}
+	require.Less(t, longest+lateBy+answerWithin, toldWithin-500*time.Millisecond)
+	require.Less(t, shortest, longest*4/5)
+	require.Greater(t, shortest, longest/2)
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"os"
 	"time"
 
@@ -45,7 +46,7 @@
 	defer die(transport.ShutDown)
 	d := transport.NewDescriptors(int(posting.Sockets))
 	p := &Program{posting: posting, log: log, life: life, lobby: &lobby{d: d}, descriptors: d,
-		source: &source{address: posting.Discovery}}
+		source: &source{address: posting.Discovery, rng: rand.New(rand.NewSource(posting.Seed))}}
 	var err error
 	if p.router, err = routing.New(posting.Deployment, posting.Seed, posting.Known, log); err != nil {
 		return err
--- a/internal/program/standins_test.go
+++ b/internal/program/standins_test.go
@@ -288,7 +288,13 @@
 
 // start runs a driver until the test ends, which must leave no goroutine behind.
 func start(t *testing.T, d *discovery, change func(file map[string]any)) *driver {
+	return startAt(t, d, strings.TrimPrefix(d.URL, "http://"), change)
+}
+
+// startAt runs a driver that asks for the list at an address.
+func startAt(t *testing.T, d *discovery, address string, change func(file map[string]any)) *driver {
 	env := posting(t, d, change)
+	env["GW_DISCOVERY"] = address
 	p, err := program.ReadPosting(func(name string) string { return env[name] })
 	require.NoError(t, err)
 	log := logrus.New()
--- /dev/null
+++ b/internal/program/watch_test.go
@@ -0,0 +1,177 @@
+package program_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// scripted is a stand-in for discovery that does with each call what a script says.
+type scripted struct {
+	*discovery // whose list it gives
+	listen     net.Listener
+	mu         sync.Mutex
+	calls      []string // their paths
+	act        func(call int, path string, c net.Conn) (answer string)
+}
+
+// newScripted answers calls with what act gives, and not at all where that is nothing.
+func newScripted(t *testing.T, d *discovery, act func(call int, path string, c net.Conn) string) *scripted {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &scripted{discovery: d, listen: l, act: act}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.calls = append(s.calls, r.URL.String())
+		n := len(s.calls)
+		s.mu.Unlock()
+		io.WriteString(c, s.act(n, r.URL.String(), c))
+	}
+}
+
+func (s *scripted) asked() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.calls...)
+}
+
+// told starts a driver that asks this discovery.
+func (s *scripted) told(t *testing.T, change func(file map[string]any)) *driver {
+	return startAt(t, s.discovery, s.listen.Addr().String(), change)
+}
+
+func whole(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// entry is a list, or a change of it, with one member.
+func entry(generation int, all bool, m *member, state string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[{"instanceId":%q,"hostPort":%q,"zone":"z","cell":1,"lifecycle":%q,"weight":1,"startedAtMs":0}]}`,
+		generation, all, m.name, m.listen.Addr(), state)
+}
+
+// drained tells how long it takes until a member that drains gets no writes any more.
+func drained(t *testing.T, c *stream, since time.Time) time.Duration {
+	for {
+		if c.ask(t, statement("write", 300)) == "53300" {
+			return time.Since(since)
+		}
+		require.Less(t, time.Since(since), 6*time.Second, "a change counts as told 6 s after discovery had it")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a change that is learned too late, since the watch that would have told of it has fallen silent with no
+// reset, at its start, inside its answer, or before the first answer, and against calls without a pause meanwhile. In the
+// worst case the change comes as the watch falls silent.
+func TestWatchFallsSilent(t *testing.T) {
+	for name, silent := range map[string]string{"at once": "", "half a body": whole(strings.Repeat(" ", 500))[:100], "half a head": "HTTP/1.1 200 OK\r\nContent-"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			primary := newMember(t, "p", "leader")
+			s := newScripted(t, newDiscovery(t, primary), func(call int, path string, _ net.Conn) string {
+				switch {
+				case call == 1:
+					return whole(entry(1, true, primary, "SERVING"))
+				case call == 2:
+					return silent
+				case strings.Contains(path, "index"):
+					return ""
+				}
+				return whole(entry(2, true, primary, "DRAINING"))
+			})
+			v := s.told(t, func(file map[string]any) {
+				file["settings"].(map[string]any)["safety"] = map[string]any{"askEveryUs": 20_000_000}
+			})
+			eventually(t, "it is watched", func() bool { return len(s.asked()) == 2 })
+			drained(t, v.client(t), time.Now())
+			require.LessOrEqual(t, len(s.asked()), 4, "%v", s.asked())
+		})
+	}
+	t.Run("before the first answer", func(t *testing.T) {
+		t.Parallel()
+		primary := newMember(t, "p", "leader")
+		s := newScripted(t, newDiscovery(t, primary), func(call int, path string, _ net.Conn) string {
+			if call == 1 || strings.Contains(path, "index") {
+				return ""
+			}
+			return whole(entry(2, true, primary, "DRAINING"))
+		})
+		begun := time.Now()
+		v := s.told(t, nil)
+		require.Less(t, time.Since(begun), 4*time.Second, "ready by what is known")
+		drained(t, v.client(t), begun)
+	})
+}
+
+// Guards against what is older than the list being taken for news, and against staying without the list then.
+func TestGenerationGoesBack(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, _ net.Conn) string {
+		switch {
+		case call == 1:
+			return whole(entry(5, true, primary, "SERVING"))
+		case call == 2:
+			return whole(entry(3, false, primary, "DRAINING"))
+		case strings.Contains(path, "index"):
+			return ""
+		}
+		return whole(entry(6, true, primary, "SERVING"))
+	})
+	c := s.told(t, nil).client(t)
+	eventually(t, "the whole list is asked for, and watched", func() bool { return len(s.asked()) >= 4 })
+	asked := s.asked()
+	require.Equal(t, "/api/targets", asked[2])
+	require.Contains(t, asked[3], "index=6")
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+}
+
+// Guards against an answer taken from what came unasked on the connection to discovery.
+func TestDiscoverySaysMore(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	stray := whole(entry(9, true, primary, "DRAINING"))
+	sent := make(chan struct{})
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, _ net.Conn) string {
+		switch {
+		case call == 1:
+			defer close(sent)
+			return whole(entry(1, true, primary, "SERVING")) + stray
+		case strings.Contains(path, "index"):
+			return ""
+		}
+		return whole(entry(2, true, primary, "SERVING"))
+	})
+	c := s.told(t, nil).client(t)
+	<-sent
+	eventually(t, "it is watched", func() bool { return len(s.asked()) >= 2 })
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+	require.NotContains(t, s.asked()[1], "index=9")
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -119,7 +119,7 @@
 // ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again.
 func (d *Driver) ListFailed() {
 	d.asked = false
-	d.host.After(sec/2+d.rng.Int63n(2*sec), d.watch)
+	d.host.After(sec/2+d.rng.Int63n(3*sec/2), d.watch)
 }
 
 func (d *Driver) watch() {
