One gate just before an attempt's first byte, asked by call-outs and probes alike

What changed meanwhile was not seen: a drain told, a primary demoted, the window for repeats over, positions that grew old; and where call-outs can't be cancelled also a client that had left. Probes were not asked at all, and rules.go probed members that drain after a time-out or a refused connection there (judge, noConnection, probed, Told), since only probeLoop looked at the list.

Change: Driver.May and Driver.MayLook answer, by the same functions that pick; Trip.May adds that the RPC is open and its tenant where it was; pools.ask and looks.ask ask just before writing. A call-out that may not begin ends as Withheld, which proves that it never ran, and the module takes its next step at once. Driver.probe keeps away from members that are to get nothing new. A call-out withheld does not count as one that a member got.

--- a/internal/program/duties.go
+++ b/internal/program/duties.go
@@ -33,6 +33,6 @@
 func (p *Program) look(d routing.Look) {
 	by, stop := context.WithTimeoutCause(p.life, p.posting.ConnectWithin, transport.TimedOut)
 	defer stop()
-	p.router.ReportLook(d.Member, p.looks.look(by, d.Member, d.Address))
+	p.router.ReportLook(d.Member, p.looks.look(by, d.Member, d.Address, func() bool { return p.router.MayLook(d.Member) }))
 	p.ready.looked(d.Member)
 }
--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -22,33 +22,35 @@
 func newLooks(p *pools) *looks { return &looks{pools: p, mute: map[rules.MemberID]bool{}} }
 
 // look probes a member. The module has one probe of a member out at a time.
-func (l *looks) look(by context.Context, to rules.MemberID, address string) (o routing.Outcome) {
+func (l *looks) look(by context.Context, to rules.MemberID, address string, may func() bool) (o routing.Outcome) {
 	mute, usable, w := l.isMute(to), false, link{}
 	if !mute {
 		w, usable = l.pools.waiting(to, address)
 	}
 	if usable {
-		o = l.ask(by, to, w)
+		o = l.ask(by, to, w, may)
 	}
-	if !usable || o.Answer == nil && o.End != transport.TimedOut { // one that broke tells nothing of the member now
-		o = l.lookAnew(by, to, address, mute)
+	if !usable || o.Answer == nil && o.End != transport.TimedOut && o.End != transport.Withheld { // one that broke tells nothing now
+		o = l.lookAnew(by, to, address, mute, may)
+	}
+	if o.End != transport.Withheld {
+		l.setMute(to, o.Answer == nil)
 	}
-	l.setMute(to, o.Answer == nil)
 	return o
 }
 
 // lookAnew probes over a new connection, and then over one from before, where the member did not answer meanwhile.
-func (l *looks) lookAnew(by context.Context, to rules.MemberID, address string, mute bool) routing.Outcome {
+func (l *looks) lookAnew(by context.Context, to rules.MemberID, address string, mute bool, may func() bool) routing.Outcome {
 	w, end := l.pools.open(by, address)
 	if end != transport.Open {
 		return routing.Outcome{End: end}
 	}
-	o := l.ask(by, to, w)
+	o := l.ask(by, to, w, may)
 	if o.Answer == nil || !mute {
 		return o
 	}
 	if old, left := l.pools.left(to, address); left {
-		if again := l.ask(by, to, old); again.Answer != nil {
+		if again := l.ask(by, to, old, may); again.Answer != nil {
 			return again
 		}
 	}
@@ -56,7 +58,11 @@
 }
 
 // ask probes over a connection, and gives it to the pool if it is still good.
-func (l *looks) ask(by context.Context, to rules.MemberID, w link) routing.Outcome {
+func (l *looks) ask(by context.Context, to rules.MemberID, w link, may func() bool) routing.Outcome {
+	if end := begins(by, may); end != transport.Open {
+		l.pools.give(to, w, w.since)
+		return routing.Outcome{End: end}
+	}
 	answer, sent, end := w.Ask(by, protocol.LoadQuery)
 	l.pools.answered(to, answer != nil, end)
 	if end == transport.Open {
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -57,8 +57,9 @@
 		doubt: map[rules.MemberID]bool{}, used: map[rules.MemberID]*uses{}}
 }
 
-// ask sends a statement to a member and waits for what comes of it. The statement is told how long that may take.
-func (p *pools) ask(by context.Context, to rules.MemberID, address string,
+// ask sends a statement to a member and waits for what comes of it. The statement is told how long that may take. Whether
+// it may begin is asked once it has its connection, just before the first byte is written.
+func (p *pools) ask(by context.Context, to rules.MemberID, address string, may func() bool,
 	statement func(within time.Duration) []string) routing.Outcome {
 	l, ok := p.waiting(to, address)
 	if end := transport.Open; !ok {
@@ -66,7 +67,7 @@
 			return routing.Outcome{End: end}
 		}
 	}
-	if end := transport.EndOf(by); end != transport.Open { // it ended meanwhile: nothing may be sent for it any more
+	if end := begins(by, may); end != transport.Open {
 		p.give(to, l, l.since)
 		return routing.Outcome{End: end}
 	}
@@ -79,6 +80,17 @@
 	return routing.Outcome{Answer: answer, Sent: sent, End: end, Opened: l.opened}
 }
 
+// begins tells that what waited for a connection may begin, or the End for which it may not.
+func begins(by context.Context, may func() bool) transport.End {
+	if end := transport.EndOf(by); end != transport.Open {
+		return end
+	}
+	if !may() {
+		return transport.Withheld
+	}
+	return transport.Open
+}
+
 // open opens a connection, if need be in place of one that is idle.
 func (p *pools) open(by context.Context, address string) (link, transport.End) {
 	within, stop := context.WithTimeoutCause(by, p.connectWithin, transport.DialTimedOut)
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -97,7 +97,7 @@
 		switch step := trip.Pick(); step.Act {
 		case routing.CallOut:
 			p.tasks.Go(func() error {
-				trip.Report(step.Number, p.callOut(step, s))
+				trip.Report(step.Number, p.callOut(step, s, trip))
 				return nil
 			})
 		case routing.Serve:
@@ -114,8 +114,9 @@
 }
 
 // callOut makes a call-out. The member is told how long this driver waits.
-func (p *Program) callOut(step routing.Step, s *protocol.Statement) routing.Outcome {
-	return p.pools.ask(step.By, step.Member, step.Address, func(within time.Duration) []string {
+func (p *Program) callOut(step routing.Step, s *protocol.Statement, trip *routing.Trip) routing.Outcome {
+	may := func() bool { return trip.May(step.Number) }
+	return p.pools.ask(step.By, step.Member, step.Address, may, func(within time.Duration) []string {
 		return s.Within(max(1, within.Milliseconds()), step.Fence)
 	})
 }
--- a/internal/program/standins_test.go
+++ b/internal/program/standins_test.go
@@ -78,6 +78,8 @@
 	role   string
 	act    string // what it does with statements: a state, "reset" or "silent"; empty for serving them
 	got    []string
+	looks  int // probes that it got
+	opened int // connections, past their startup messages
 	conns  map[net.Conn]bool
 	link   sync.RWMutex // held for writing while nothing gets through
 }
@@ -130,11 +132,29 @@
 	return append([]string(nil), m.got...)
 }
 
+// counts are the connections that were opened to it, and the probes that it got.
+func (m *member) counts() (opened, looks int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.opened, m.looks
+}
+
+// hold lets nothing through any more, so that new connections are long in coming up, and drops the old ones; the function
+// that it gives ends that.
+func (m *member) hold() (release func()) {
+	m.link.Lock()
+	m.dropAll()
+	return m.link.Unlock
+}
+
 func (m *member) serve(s *stream) {
 	defer s.Close()
 	if _, err := s.readBody(); err != nil {
 		return
 	}
+	m.mu.Lock()
+	m.opened++
+	m.mu.Unlock()
 	m.link.RLock()
 	m.link.RUnlock()
 	io.WriteString(s, said("R", "\x00\x00\x00\x00")+said("Z", "I"))
@@ -155,6 +175,7 @@
 	now := time.Now().UnixMilli()
 	tail := said("S", "node_role\x00"+m.role+"\x00") + said("S", fmt.Sprintf("replay_position\x00%d\x00", now)) + said("Z", "I")
 	if statement == "SHOW server_load" {
+		m.looks++
 		return row(fmt.Sprintf("x0=%.3f,x1=%d", float64(now)/1000, map[string]int{"leader": 1}[m.role])) + tail
 	}
 	m.got = append(m.got, statement)
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -45,6 +45,7 @@
 	transport.Evicted:      rules.Reset,
 	transport.Stalled:      rules.Errored,
 	transport.ShutDown:     rules.Cancelled,
+	transport.Withheld:     rules.Moot,
 }
 
 type verdict struct {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -129,6 +129,13 @@
 	waiting[0](found)
 }
 
+// MayLook tells whether a probe may still begin. It is asked just before its first byte is written.
+func (r *Router) MayLook(to rules.MemberID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.driver.MayLook(to)
+}
+
 // Tick waits until something falls due that no RPC asks for, and gives it. Meanwhile the module's timers run.
 func (r *Router) Tick(ctx context.Context) (Duty, error) {
 	alarm := time.NewTimer(0)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -51,7 +51,7 @@
 	} {
 		require.Equal(t, verdict{c.proof, c.cause}, c.o.verdict(), "%+v", c.o)
 	}
-	for end := transport.DialRefused; end <= transport.ShutDown; end++ {
+	for end := transport.DialRefused; end <= transport.Withheld; end++ {
 		require.Contains(t, causes, end, "each end has its cause")
 	}
 	require.Equal(t, rules.Full, Outcome{End: transport.TurnedAway}.found().Cause, "a full member lives")
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -63,6 +63,7 @@
 
 // call is a call-out.
 type call struct {
+	to     rules.MemberID
 	sent   int64
 	until  int64 // it is not waited for any longer
 	cancel func()
@@ -122,6 +123,15 @@
 	t.r.driver.Take(rpc)
 }
 
+// May tells whether a call-out may still begin. It is asked just before the first byte is written, on whatever connection
+// that took whatever time to get.
+func (t *Trip) May(number int) bool {
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	c := &t.calls[number]
+	return !t.ended && c.next != nil && (t.pass == nil || t.may()) && t.r.driver.May(t.id, c.to)
+}
+
 // Pick waits for the next step.
 func (t *Trip) Pick() Step { return <-t.steps }
 
@@ -177,7 +187,7 @@
 	span := time.Duration(max(within, 0))
 	by, stop := context.WithTimeout(context.Background(), span)
 	by, cancel := context.WithCancelCause(by)
-	t.calls = append(t.calls, call{sent: r.now(), until: r.now() + int64(span), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
+	t.calls = append(t.calls, call{to: to, sent: r.now(), until: r.now() + int64(span), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
 	t.out++
 	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.address(to), By: by, Fence: t.fence()}
 	return n
--- a/internal/transport/end.go
+++ b/internal/transport/end.go
@@ -30,11 +30,12 @@
 	Evicted          // let go of between messages
 	Stalled          // the peer did not finish a message in time
 	ShutDown         // this driver is going
+	Withheld         // open, and not used: what it was opened for may not be sent any more
 )
 
 var endNames = [...]string{"open", "dial refused", "dial timed out", "dial failed", "no descriptor", "turned away",
 	"closed by peer", "cut short", "reset by peer", "malformed", "too long", "write stalled", "timed out", "cancelled",
-	"evicted", "stalled", "shut down"}
+	"evicted", "stalled", "shut down", "withheld"}
 
 func (e End) String() string { return endNames[e] }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -140,11 +140,10 @@
 	}
 	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-d.learned[m]
 	enough := wait
-	here := d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly
 	if d.crew.News == 0 || !d.many() {
 		enough = min(wait, 2*d.due)
 	}
-	if here && (d.silent[m] || d.learned[m] == 0 || d.old(m) && age >= enough) {
+	if d.here(m) && (d.silent[m] || d.learned[m] == 0 || d.old(m) && age >= enough) {
 		d.probe(m)
 	} else if age < d.due {
 		wait -= age
@@ -159,8 +158,8 @@
 
 func (d *Driver) probe(m member) {
 	now := d.host.Now()
-	if d.asking[m] != 0 || !d.kept[m] {
-		return // one is on its way, or the member was dropped
+	if d.asking[m] != 0 || !d.kept[m] || !d.here(m) {
+		return // one is on its way, or the member was dropped, or is to get nothing new
 	}
 	d.asking[m] = now
 	d.host.Probe(d.ids[m], func(r ProbeResult) { d.probed(m, r) })
@@ -173,6 +172,9 @@
 
 func (d *Driver) probed(m member, r ProbeResult) {
 	d.asking[m] = 0
+	if r.Cause == Moot { // it was never sent
+		return
+	}
 	if r.Cause == NoCause || r.Cause == Full || r.Cause == Errored { // whatever it answers it is alive
 		d.alive(m, r.Opened)
 		d.sighted(m, r.Sighting, false)
@@ -442,9 +444,8 @@
 
 // usable tells whether a member may get anything at all.
 func (d *Driver) usable(m member) bool {
-	gone := d.state[m] == Draining || d.state[m] == Gone && !d.notice.DrainOnly
 	met := d.met(m) || !d.allowed.Probes // guards against strangers in the list
-	return met && !gone && !d.silent[m] && d.host.Now() >= d.aside[m]
+	return met && d.here(m) && !d.silent[m] && d.host.Now() >= d.aside[m]
 }
 
 // thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, 0.7 with
@@ -465,6 +466,29 @@
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
+// May tells whether a call-out that was made may still begin: it is asked just before its first byte is
+// written. Guards against whatever changed since the decision, while a connection was waited for: the list,
+// the primary, positions, the window for repeats, the deadline, a client that left.
+func (d *Driver) May(id RPCID, to MemberID) bool {
+	c := d.calls[id]
+	m, known := d.index[to]
+	if c == nil || !known || !d.here(m) || d.host.Now() >= c.deadline || !d.mayRepeat(c, m) {
+		return false
+	}
+	return c.group.primary == m || c.isRead() && d.fresh(m, c)
+}
+
+// MayLook tells whether a probe that was made may still begin.
+func (d *Driver) MayLook(to MemberID) bool {
+	m, known := d.index[to]
+	return known && d.here(m)
+}
+
+// here tells whether the list lets a member have anything new.
+func (d *Driver) here(m member) bool {
+	return d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly
+}
+
 // mayRepeat keeps the rule on effects for a call-out that would follow others.
 func (d *Driver) mayRepeat(c *call, m member) bool {
 	inScope := c.method.Scope != ScopeZone || d.zone[m] == c.riskZone
@@ -633,7 +657,7 @@
 		return
 	}
 	c.out = slices.DeleteFunc(c.out, func(n int) bool { return n == number })
-	c.reached = c.reached || r.Cause != NoConnect
+	c.reached = c.reached || r.Cause != NoConnect && r.Cause != Moot
 	if d.host.Now() < d.scarce && d.out[m] == 0 && r.Cause != NoConnect && !d.silent[m] {
 		d.host.CloseIdle(d.ids[m])
 	}
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -353,6 +353,7 @@
 		"timeout":       {Proof: rules.MayHaveRun, Cause: rules.TimedOut},
 		"no-connection": {Proof: rules.NeverRan, Cause: rules.NoConnect},
 		"reset":         {Proof: rules.MayHaveRun, Cause: rules.Reset},
+		"withheld":      {Proof: rules.NeverRan, Cause: rules.Moot},
 		"begun":         {Proof: rules.Started},
 	}
 	r, known := ends[w[1]]
@@ -390,6 +391,16 @@
 		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes, "forgets": p.forgot,
 			"messages": p.tells}
 		require.Equal(p.t, p.number(w[1]), counts[w[0]], p.at)
+	case "may": // a call-out may begin, or a probe where no RPC is named: "may 3 2 no", "may probe 2 yes"
+		may, to := false, rules.MemberID(p.number(w[2]))
+		if w[1] == "probe" {
+			may = p.d.MayLook(to)
+		} else {
+			may = p.d.May(rules.RPCID(p.number(w[1])), to)
+		}
+		require.Equal(p.t, w[3] == "yes", may, p.at)
+	case "leaves":
+		p.d.Left(rules.RPCID(p.number(w[1])))
 	case "tells":
 		require.True(p.t, slices.ContainsFunc(p.told, func(n rules.News) bool { return int(n.Member) == p.number(w[1]) && n.Failed == (len(w) > 2) }), p.at)
 	default:
