Clients are attended to while they wait, and let go by halves; leaving lasts as long as theirs does

Causes, each shown before it was mended:

Leaving now ends with the RPCs, bounded by the longest that a method's clients may wait. - Once clients were to go, an answer was followed by reading on: what a client sent at once behind it could be taken again and again. Reading now stops before the last answer (lobby.last), this side ends its sending (Linger), reads on for nothing, and closes when the client has. The reader used to end with the parting, so bytes that crossed were unread at the close, which made it a reset. A parting that makes room looks once more for what the system holds: a query that came is served. - A client's end stood behind what it had sent: the ring was full at 64 KiB, and nothing read on. While an RPC is open the reader goes on up to 1 MiB, out of a sixteenth of the memory for all; a client that sends more is let go. Terminate behind the query counts as gone; what stands behind a message that can't be followed is not kept. - A query whose client had closed behind it was begun (session.go read it from the ring after the end). - CancelRequest did nothing, for clients were told no key. They are now, and it ends what is open on that connection alone, with 57014. - Conn.Close returned before the socket was closed if another goroutine was closing it, so that a further attempt could be sent while the one given up was still out on an open connection.

--- a/internal/emulator/sockets/members.go
+++ b/internal/emulator/sockets/members.go
@@ -146,7 +146,7 @@
 func (f *Fleet) serve(c protocol.Client, m emulator.MemberID) {
 	f.hold(m, c.Conn, true)
 	defer f.hold(m, c.Conn, false)
-	_, end := c.Welcome()
+	_, end := c.Welcome(protocol.CancelKey{}, func(protocol.CancelKey) {})
 	for end == transport.Open {
 		var text string
 		if text, end = c.Query(); end == transport.Open {
--- a/internal/program/lobby.go
+++ b/internal/program/lobby.go
@@ -116,10 +116,24 @@
 	}
 }
 
-// sweep lets go of those in a room longer than stay; one that has begun a message then has a rest to finish it.
+// last tells, before a client gets the answer to all that was read from it, whether that is its last: once clients are to
+// go, nothing more is read, so that what it sends behind the answer is never taken.
+func (l *lobby) last(c protocol.Client) bool {
+	l.mu.Lock()
+	leaving := l.leaving
+	l.mu.Unlock()
+	return leaving && c.Part(transport.ShutDown) && c.Await(1) == transport.ShutDown
+}
+
+// sweep lets go of those in a room longer than stay; one that has begun a message then has a rest to finish it. Once clients
+// are to go, all have stayed long enough.
 func (l *lobby) sweep(room *list.List, now time.Time, stay, rest time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	end := transport.Evicted
+	if l.leaving {
+		stay, rest, end = 0, restFor, transport.ShutDown
+	}
 	for place := room.Front(); place != nil; {
 		s, at := place.Value.(*seat), place
 		if now.Sub(s.since) < stay {
@@ -130,7 +144,7 @@
 			s.begun = now
 		}
 		switch {
-		case s.client.Part(transport.Evicted):
+		case s.client.Part(end):
 			room.Remove(at)
 		case now.Sub(s.begun) >= rest:
 			s.client.Cut(transport.Stalled)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -27,6 +27,8 @@
 	pools       *pools
 	looks       *looks
 	lobby       *lobby
+	cancels     *cancels
+	spare       *transport.Spare // for what clients send behind open queries
 	peers       *peers
 	source      *source
 	ready       *readiness
@@ -34,10 +36,8 @@
 	tasks       errgroup.Group // call-outs, probes and the watch
 }
 
-const (
-	stayFor = 600 * time.Millisecond // clients may still be sent here so long after a notice to leave
-	leaveIn = 3500 * time.Millisecond
-)
+// stayFor is how long after a notice to leave clients may still be sent here.
+const stayFor = 600 * time.Millisecond
 
 // Run serves until the context ends, and then leaves in good order. Each time reload tells something the posting's
 // file is read again.
@@ -45,7 +45,8 @@
 	life, die := context.WithCancelCause(context.Background())
 	defer die(transport.ShutDown)
 	d := transport.NewDescriptors(int(posting.Sockets))
-	p := &Program{posting: posting, log: log, life: life, lobby: &lobby{d: d}, descriptors: d,
+	p := &Program{posting: posting, log: log, life: life, lobby: &lobby{d: d}, cancels: newCancels(), descriptors: d,
+		spare:  transport.NewSpare(int(posting.MemoryMB<<20)/behindShare, mostBehind),
 		source: &source{address: posting.Discovery, rng: rand.New(rand.NewSource(posting.Seed))}}
 	var err error
 	if p.router, err = routing.New(posting.Deployment, posting.Seed, posting.Known, log); err != nil {
@@ -105,10 +106,20 @@
 	}
 }
 
-// leave serves on while clients may still be sent here, then lets them go between queries.
+// leave serves on while clients may still be sent here, then lets them go, each as soon as what was read from it is answered.
+//
+//	phase    what                                                                    for at most
+//	staying  all is as ever: clients may still be sent here                          stayFor
+//	parting  the door is closed; who rests is let go, who has begun a message has    restFor, then what
+//	         a rest to finish it; what was read is answered, and nothing more is     an RPC may take
+//	         read before its connection's last answer
+//	closing  each connection: this side ends its sending, reads on for nothing,      longestWrite and
+//	         and closes once the client has ended too                                lingerFor
+//
+// An RPC takes no longer than its client waits, so the whole ends by itself. The bound is for clients that send so many
+// queries behind one another that they would not all be answered.
 func (p *Program) leave(door *transport.Listener, sessions *errgroup.Group) {
 	p.log.Info("leaving")
-	start := time.Now()
 	time.Sleep(stayFor)
 	door.Close()
 	p.lobby.clear()
@@ -116,7 +127,7 @@
 	go func() { sessions.Wait(); close(gone) }()
 	select {
 	case <-gone:
-	case <-time.After(time.Until(start.Add(leaveIn))):
+	case <-time.After(restFor + p.router.LongestLeft() + longestWrite + lingerFor):
 		p.log.Warn("clients are still here")
 	}
 }
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -17,38 +17,61 @@
 	cell := cells.NoCell // of its last RPC, for which its connection counts
 	leave := p.lobby.enter(c, false, cell)
 	c.WriteWithin(longestWrite)
-	from, end := c.Welcome()
+	h, forget := p.cancels.enter()
+	defer forget()
+	from, end := c.Welcome(h.key, p.cancels.cancel)
 	for guest := false; end == transport.Open; {
 		var text string
-		if text, end = c.Query(); end == transport.Open {
-			leave()
-			var trip *routing.Trip
-			trip, end = p.query(c, from, text)
-			if trip != nil {
-				guest = true
-				last := cell
-				cell = trip.Cell()
-				p.router.Seat(last, cell)
-			}
+		if text, end = c.Query(); end != transport.Open {
+			break
+		}
+		if end = c.End(); end != transport.Open { // it asked and went: nothing is begun for it
+			break
+		}
+		leave()
+		var trip *routing.Trip
+		trip, end = p.query(c, h, from, text)
+		if trip != nil {
+			guest = true
+			last := cell
+			cell = trip.Cell()
+			p.router.Seat(last, cell)
+		}
+		leave = func() {}
+		if end == transport.Open {
 			leave = p.lobby.enter(c, guest, cell)
 		}
 	}
 	leave()
 	p.router.Seat(cell, cells.NoCell)
-	if end == transport.Malformed || end == transport.TooLong {
-		c.Linger(lingerFor, mostWaste)
+	if while := lingers[end]; while > 0 {
+		c.Linger(while, mostWaste)
 	}
 	c.Close(end)
 }
 
+// lingers is how long, where this side ends a client's connection, the client may take to read what it was sent and to end
+// its own side. What it still sends meanwhile is read and thrown away: unread it would make the close a reset, which takes
+// an answer with it that is on its way. A request among it was never taken: its client, told of the end, asks elsewhere.
+var lingers = map[transport.End]time.Duration{
+	transport.Malformed: lingerFor,
+	transport.TooLong:   lingerFor,
+	transport.Stalled:   lingerFor,
+	transport.ShutDown:  lingerFor,
+	transport.Evicted:   lingerFor / 10, // its descriptor is wanted
+}
+
 const (
 	lingerFor    = 200 * time.Millisecond // a client may take to read what it was sent before its connection closes
 	mostWaste    = 1 << 20                // bytes that it may still send meanwhile
 	longestWrite = 2 * time.Second        // a client may take to take its answer
+
+	mostBehind  = 1 << 20 // bytes that a client may send behind an open query
+	behindShare = 16      // and all clients together, beyond their rings, this part of the memory
 )
 
 // query serves a client's query, and gives the trip of the RPC that it stood for, nil where none was taken.
-func (p *Program) query(c protocol.Client, from protocol.Origin, text string) (trip *routing.Trip, end transport.End) {
+func (p *Program) query(c protocol.Client, h *held, from protocol.Origin, text string) (trip *routing.Trip, end transport.End) {
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return nil, p.emptyQuery(c)
 	}
@@ -60,7 +83,7 @@
 	if err != nil {
 		return nil, c.Refuse(protocol.Failure{State: protocol.StateSyntax, Message: err.Error()})
 	}
-	return trip, p.rpc(c, &s, trip)
+	return trip, p.rpc(c, h, &s, trip)
 }
 
 // call is the RPC that a statement stands for.
@@ -90,27 +113,52 @@
 	return []<-chan struct{}{p.confined.leased, p.confined.heeds}
 }
 
-// rpc does what the router picks for an RPC until it has its answer.
-func (p *Program) rpc(c protocol.Client, s *protocol.Statement, trip *routing.Trip) transport.End {
+// rpc does what the router picks for an RPC until that has its answer, and passes it on. Meanwhile the client is attended
+// to: once it has gone, or cancels, the RPC is left.
+func (p *Program) rpc(c protocol.Client, h *held, s *protocol.Statement, trip *routing.Trip) transport.End {
+	final := p.steps(c, h, s, trip)
+	if final.Act == routing.Serve {
+		defer trip.Passed()
+	}
+	last := p.lobby.last(c)
+	end := p.answer(c, final)
+	if last && end == transport.Open {
+		return transport.ShutDown
+	}
+	return end
+}
+
+// steps makes the call-outs of an RPC, and gives its last step.
+func (p *Program) steps(c protocol.Client, h *held, s *protocol.Statement, trip *routing.Trip) routing.Step {
 	defer context.AfterFunc(c.Context(), trip.Leave)()
+	defer p.cancels.open(h, trip.Leave)()
+	defer c.Attend(p.spare)()
 	for {
-		switch step := trip.Pick(); step.Act {
-		case routing.CallOut:
-			p.tasks.Go(func() error {
-				trip.Report(step.Number, p.callOut(step, s, trip))
-				return nil
-			})
-		case routing.Serve:
-			defer trip.Passed()
-			return c.Pass(step.Answer)
-		case routing.PushBack:
-			return c.Refuse(protocol.PushBack(step.ComeBack / int64(time.Millisecond)))
-		case routing.Abort:
-			return c.Refuse(protocol.Abort())
-		case routing.Drop:
-			return c.End()
+		step := trip.Pick()
+		if step.Act != routing.CallOut {
+			return step
 		}
+		p.tasks.Go(func() error {
+			trip.Report(step.Number, p.callOut(step, s, trip))
+			return nil
+		})
+	}
+}
+
+// answer gives a client its final answer.
+func (p *Program) answer(c protocol.Client, final routing.Step) transport.End {
+	switch final.Act {
+	case routing.Serve:
+		return c.Pass(final.Answer)
+	case routing.PushBack:
+		return c.Refuse(protocol.PushBack(final.ComeBack / int64(time.Millisecond)))
+	case routing.Abort:
+		return c.Refuse(protocol.Abort())
+	}
+	if end := c.End(); end != transport.Open {
+		return end
 	}
+	return c.Refuse(protocol.Canceled())
 }
 
 // callOut makes a call-out. The member is told how long this driver waits.
--- a/internal/program/standins_test.go
+++ b/internal/program/standins_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,10 +37,11 @@
 // stream speaks PostgreSQL's messages.
 type stream struct {
 	net.Conn
-	in *bufio.Reader
+	in  *bufio.Reader
+	key string // that a driver told it at its start
 }
 
-func newStream(c net.Conn) *stream { return &stream{c, bufio.NewReader(c)} }
+func newStream(c net.Conn) *stream { return &stream{Conn: c, in: bufio.NewReader(c)} }
 
 func (s *stream) read() (kind byte, body string, err error) {
 	if kind, err = s.in.ReadByte(); err != nil {
@@ -374,6 +376,8 @@
 		switch kind {
 		case 'Z':
 			return got
+		case 'K':
+			s.key = body
 		case 'D':
 			got = body[6:]
 		case 'I':
@@ -388,16 +392,16 @@
 	}
 }
 
-var ids int
+var ids atomic.Int64
 
 // statement is a client's statement, which waits for so many milliseconds.
 func statement(method string, left int) string {
-	ids++
+	id := ids.Add(1)
 	if method == "write" {
 		return fmt.Sprintf(`INSERT INTO kv (name, content) VALUES ('k', '\x9f03') RETURNING content /* id=%d,c=write,d=%d,cluster=1 */`,
-			ids, left)
+			id, left)
 	}
-	return fmt.Sprintf("SELECT content FROM kv WHERE name = 'k' /* id=%d,c=%s,d=%d,cluster=1 */", ids, method, left)
+	return fmt.Sprintf("SELECT content FROM kv WHERE name = 'k' /* id=%d,c=%s,d=%d,cluster=1 */", id, method, left)
 }
 
 // output collects what a process writes while it is read.
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -21,8 +21,12 @@
 // Origin is who a client said that it is.
 type Origin struct{ User, Database string }
 
-// Welcome reads the startup message and answers it. Encryption is declined.
-func (c Client) Welcome() (Origin, transport.End) {
+// CancelKey is what a client is told at its start, and may name on another connection to cancel what is open on this one.
+type CancelKey struct{ Process, Secret uint32 }
+
+// Welcome reads the startup message and answers it. Encryption is declined. The client is told its key, and cancel is
+// called with the one that a connection names which only cancels.
+func (c Client) Welcome(key CancelKey, cancel func(CancelKey)) (Origin, transport.End) {
 	for {
 		code, rest, end := c.startup()
 		switch {
@@ -35,12 +39,15 @@
 			if end := c.Flush(); end != transport.Open {
 				return Origin{}, end
 			}
-		case code == cancelRequest: // there is nothing to cancel by
+		case code == cancelRequest:
+			if len(rest) == 8 {
+				cancel(CancelKey{binary.BigEndian.Uint32([]byte(rest)), binary.BigEndian.Uint32([]byte(rest[4:]))})
+			}
 			return Origin{}, transport.ClosedByPeer
 		case code>>16 != versionThree>>16:
 			return Origin{}, c.reject(StateNotSupported, "only version 3 of the protocol is spoken here", transport.Malformed)
 		default:
-			return originOf(rest), c.greet(code)
+			return originOf(rest), c.greet(code, key)
 		}
 	}
 }
@@ -90,7 +97,7 @@
 }
 
 // greet says that the session may begin.
-func (c Client) greet(code uint32) transport.End {
+func (c Client) greet(code uint32, key CancelKey) transport.End {
 	if code > versionThree { // a later minor version: 3.0 is what is spoken
 		put(c.Conn, kindVersion, "\x00\x03\x00\x00", "\x00\x00\x00\x00")
 	}
@@ -99,6 +106,8 @@
 		{"standard_conforming_strings", "on"}} {
 		put(c.Conn, kindParameter, p[0], "\x00", p[1], "\x00")
 	}
+	both := binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, key.Process), key.Secret)
+	put(c.Conn, kindBackendKey, string(both))
 	return c.ready()
 }
 
@@ -127,6 +136,27 @@
 	}
 }
 
+// Attend ends the connection as soon as the client has gone, while its query is worked on, until the function it gives is
+// called. A client that says so has gone, as has one that closes, also behind further queries.
+func (c Client) Attend(spare *transport.Spare) (stop func()) { return c.Conn.Attend(spare, behind) }
+
+// behind looks at what a client sent behind its query: whether a Terminate is among it, and how much of it can be followed.
+// Of what can't be, the head is kept, to be answered when its turn comes; what stands behind it is nothing.
+func behind(held transport.Held) (gone bool, keep int) {
+	var head [headerBytes]byte
+	for at := 0; held(at, head[:]); {
+		length := int64(binary.BigEndian.Uint32(head[1:]))
+		if length < 4 || length+1 > mostStatement {
+			return false, at + headerBytes
+		}
+		if head[0] == kindTerminate {
+			return true, -1
+		}
+		at += int(length) + 1
+	}
+	return false, -1
+}
+
 // skipExtended answers a query of the extended kind, and passes over what belongs to it.
 func (c Client) skipExtended(kind byte) transport.End {
 	putFailure(c.Conn, Failure{State: StateNotSupported, Message: "only simple queries are taken"})
--- a/internal/protocol/failure.go
+++ b/internal/protocol/failure.go
@@ -15,6 +15,7 @@
 	StateTooOld         = "72000" // the data is too far behind
 	StateProtocol       = "08P01"
 	StateSyntax         = "42601"
+	StateCanceled       = "57014"
 	StateUnknownOutcome = "08007"
 	StateNotSupported   = "0A000"
 	StateFenced         = "VF001" // of ours: its version is over
@@ -71,6 +72,11 @@
 	return f
 }
 
+// Canceled says that an RPC was given up because its client asked for that, and that its effect is not known.
+func Canceled() Failure {
+	return Failure{State: StateCanceled, Message: "canceled, it may or may not have run"}
+}
+
 // Abort says that an RPC failed, and that its effect is not known.
 func Abort() Failure {
 	return Failure{State: StateUnknownOutcome, Message: "aborted, it may or may not have run"}
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -67,7 +67,7 @@
 		conn, s := feed(c.text)
 		client := Client{conn}
 		query := ""
-		_, end := client.Welcome()
+		_, end := client.Welcome(CancelKey{}, func(CancelKey) {})
 		if end == transport.Open {
 			query, end = client.Query()
 		}
@@ -197,7 +197,7 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		conn, _ := feed(text)
 		client := Client{conn}
-		for _, end := client.Welcome(); end == transport.Open; {
+		for _, end := client.Welcome(CancelKey{}, func(CancelKey) {}); end == transport.Open; {
 			_, end = client.Query()
 		}
 	})
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -88,7 +88,7 @@
 	switch {
 	case c.Write != (method.Need == rules.NeedPrimary):
 		return nil, errKind
-	case method.Deadline > 0 && rpc.Left > 2*method.Deadline: // some may start to count before the driver does
+	case rpc.Left > longestLeft(method):
 		return nil, errLeft
 	}
 	r.mu.Lock()
@@ -106,6 +106,26 @@
 	return t, nil
 }
 
+// longestLeft is how long a client of a method may say that it waits: twice as long as it does, since some may start to count
+// before the driver does.
+func longestLeft(m *rules.Method) int64 {
+	if m.Deadline <= 0 {
+		return mostLeft
+	}
+	return 2 * m.Deadline
+}
+
+// mostLeft bounds it where the method names no deadline.
+const mostLeft = 60_000 * milli
+
+// LongestLeft is how long a client of any method may say that it waits.
+func (r *Router) LongestLeft() (most time.Duration) {
+	for i := range r.methods {
+		most = max(most, time.Duration(longestLeft(&r.methods[i])))
+	}
+	return most
+}
+
 // open makes the trip of an RPC. The lock is held.
 func (r *Router) open(name string) *Trip {
 	r.last++
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -22,22 +22,29 @@
 	mu      sync.Mutex
 	moved   *sync.Cond // the in ring or the end has changed
 	in      Ring
-	wanted  int  // bytes that the reading goroutine waits for
-	parting End  // asked to end between messages
-	parted  bool // and nothing came before reading stopped
-	wasting int  // bytes that may still be read to be thrown away
+	wanted  int                                   // bytes that the reading goroutine waits for
+	parting End                                   // asked to end between messages
+	parted  bool                                  // and nothing came before reading stopped
+	wasting int                                   // bytes that may still be read to be thrown away
+	heard   func(held Held) (gone bool, keep int) // looks at what is held while nobody takes it; nil else
+	spare   *Spare                                // that the in ring may have beyond its usual bound
+	spilled int                                   // and has
 	hurry   time.Duration
 	stalled *time.Timer // ends the connection once nothing has come for as long as hurry
 	end     End
+	closed  chan struct{} // closed once the socket is
 
 	out      Ring
 	patience time.Duration
 }
 
+// Held copies bytes that were read and not taken, from an offset on, and tells whether so many are there.
+type Held func(at int, into []byte) bool
+
 // NewConn starts reading into rings that hold up to bound bytes each. The connection ends with its context, and
 // calls give once it has.
 func NewConn(ctx context.Context, nc net.Conn, bound int, give func()) *Conn {
-	c := &Conn{nc: nc, give: give, in: NewRing(bound), out: NewRing(bound)}
+	c := &Conn{nc: nc, give: give, in: NewRing(bound), out: NewRing(bound), closed: make(chan struct{})}
 	c.moved = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	context.AfterFunc(c.ctx, func() { c.Close(EndOf(c.ctx)) })
@@ -55,12 +62,15 @@
 	return c.end
 }
 
-// Close ends the connection, once.
+// Close ends the connection, once. It returns when the socket is closed, whoever closed it: what comes after, such as
+// another attempt, must not cross what is still out on an open connection.
 func (c *Conn) Close(end End) {
 	if c.finish(end) {
 		c.nc.Close()
 		c.give()
+		close(c.closed)
 	}
+	<-c.closed
 }
 
 func (c *Conn) finish(end End) bool {
@@ -68,6 +78,7 @@
 	first := c.end == Open
 	if first {
 		c.end = end
+		c.giveSpare()
 		c.moved.Broadcast()
 	}
 	c.mu.Unlock()
@@ -89,48 +100,109 @@
 			c.stalled.Reset(c.hurry)
 		}
 		parted := c.part(err)
+		gone := n > 0 && c.listen()
 		c.moved.Broadcast()
 		c.mu.Unlock()
-		if parted {
+		switch {
+		case gone:
+			c.Close(ClosedByPeer)
 			return
-		}
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		case parted:
+			if !c.resumed() {
+				return
+			}
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			c.Close(endOfRead(err))
 			return
 		}
 	}
 }
 
-// part settles a parting once reading was interrupted: what came first calls it off. The lock is held.
+// part settles a parting once reading was interrupted: what came first calls it off, also what waits unread, unless this
+// side shuts down: then nothing more is read that would have to be answered. The lock is held.
 func (c *Conn) part(err error) bool {
 	if c.parting == Open || c.parted {
 		return c.parted
 	}
-	if c.in.Len() > 0 {
+	interrupted := errors.Is(err, os.ErrDeadlineExceeded)
+	if c.in.Len() > 0 || interrupted && c.parting != ShutDown && !c.nothingWaits() {
 		c.parting = Open
 		c.nc.SetReadDeadline(time.Time{})
 		return false
 	}
-	c.parted = errors.Is(err, os.ErrDeadlineExceeded)
+	c.parted = interrupted
 	return c.parted
 }
 
+// resumed waits, after reading has stopped, until what comes is to be read again, and tells whether it is: else the
+// connection has ended.
+func (c *Conn) resumed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.parted && c.end == Open {
+		c.moved.Wait()
+	}
+	return c.end == Open
+}
+
 // space waits for room in the in ring, and gives nil when the connection has ended. Only the pump changes where
 // the ring's bytes lie, so that it may fill the space without the lock.
 func (c *Conn) space() []byte {
+	free, more := c.room()
+	if free == nil && more {
+		c.Close(TooLong)
+	}
+	return free
+}
+
+// room is space, and tells whether nothing more may be held though the peer must be read from.
+func (c *Conn) room() (free []byte, tooMuch bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
 		c.waste()
-		c.in.relax()
+		c.shrink()
 		c.in.grow(max(1, c.wanted-c.in.Len()))
 		if c.end != Open {
-			return nil
+			return nil, false
 		}
 		if free := c.in.free(); len(free) > 0 {
-			return free
+			return free, false
 		}
-		c.moved.Wait()
+		if c.heard == nil {
+			c.moved.Wait()
+		} else if !c.widen() {
+			return nil, true
+		}
+	}
+}
+
+// widen lets the ring hold more than usual, as far as that is allowed and the others have left of it. The lock is held.
+func (c *Conn) widen() bool {
+	more := min(c.in.bound, c.spare.each-c.in.bound)
+	if more <= 0 || !c.spare.take(more) {
+		return false
+	}
+	c.spilled += more
+	c.in.bound += more
+	return true
+}
+
+// shrink starts an empty ring afresh, and gives back what it held beyond the usual once the usual will do. The lock is held.
+func (c *Conn) shrink() {
+	c.in.relax()
+	if usual := c.in.bound - c.spilled; c.spilled > 0 && c.in.Len() <= usual/2 {
+		c.in.move(usual)
+		c.giveSpare()
+	}
+}
+
+// giveSpare gives back what was held beyond the usual. The lock is held.
+func (c *Conn) giveSpare() {
+	if c.spilled > 0 {
+		c.in.bound -= c.spilled
+		c.spare.give(c.spilled)
+		c.spilled = 0
 	}
 }
 
@@ -196,29 +268,71 @@
 
 // Quiet tells whether it is idle and nothing waits to be read either, be it the peer's end.
 func (c *Conn) Quiet() bool {
+	return c.Idle() && c.nothingWaits() && c.Idle() // what the reader had taken by then is in the ring now
+}
+
+// nothingWaits tells whether the system holds nothing that came, be it the peer's end.
+func (c *Conn) nothingWaits() (nothing bool) {
+	nothing = true
+	c.control(func(fd int) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		nothing = errors.Is(err, syscall.EAGAIN)
+	})
+	return nothing
+}
+
+// control looks at the socket, if there is one.
+func (c *Conn) control(look func(fd int)) {
 	real, ok := c.nc.(syscall.Conn)
-	if !c.Idle() || !ok {
-		return c.Idle()
+	if !ok {
+		return
+	}
+	if raw, err := real.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { look(int(fd)) })
+	}
+}
+
+// Attend reads on from the peer while nobody takes what it sends, up to what spare allows, until the function it gives is
+// called. What is held is shown to heard, now and as more comes: once that tells that the peer has gone the connection ends,
+// and what stands behind keep is thrown away, if keep is not negative. It guards against work for a peer whose end stands
+// behind what it sent before. One that sends more than may be held is let go.
+func (c *Conn) Attend(spare *Spare, heard func(held Held) (gone bool, keep int)) (stop func()) {
+	c.mu.Lock()
+	c.heard, c.spare = heard, spare
+	gone := c.listen()
+	c.moved.Broadcast()
+	c.mu.Unlock()
+	if gone {
+		c.Close(ClosedByPeer)
 	}
-	raw, err := real.SyscallConn()
-	if err != nil {
+	return func() {
+		c.mu.Lock()
+		c.heard = nil
+		c.mu.Unlock()
+	}
+}
+
+// listen shows what is held, and tells whether the peer has gone by that. The lock is held.
+func (c *Conn) listen() bool {
+	if c.heard == nil {
 		return false
 	}
-	nothing := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		nothing = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && nothing && c.Idle() // what the reader had taken by then is in the ring now
+	gone, keep := c.heard(c.held)
+	if keep >= 0 {
+		c.in.used = min(c.in.used, keep)
+	}
+	return gone
 }
 
+func (c *Conn) held(at int, into []byte) bool { return c.in.peekAt(at, into) }
+
 // Part asks whoever reads from an idle connection to end it: reading stops, and Await gives the End. What comes
 // later stays unread, so that the peer can tell. It tells whether the connection was idle.
 func (c *Conn) Part(end End) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := c.end == Open && c.in.Len() == 0
+	idle := c.end == Open && c.in.Len() == 0 && c.wasting == 0
 	if idle {
 		c.parting = end
 		c.nc.SetReadDeadline(time.Unix(1, 0))
@@ -252,14 +366,16 @@
 // Linger ends this side's sending and gives the peer a while to read what was sent, and to end its own. Up to waste
 // bytes that still come are thrown away: what is unread at the close would make it a reset, which may overtake them.
 func (c *Conn) Linger(while time.Duration, waste int) {
-	c.mu.Lock()
-	c.wasting = waste
-	c.moved.Broadcast()
-	c.mu.Unlock()
 	half, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
+	c.mu.Lock()
+	c.wasting = waste
+	c.parting, c.parted = Open, false
+	c.nc.SetReadDeadline(time.Time{})
+	c.moved.Broadcast()
+	c.mu.Unlock()
 	patience := time.NewTimer(while)
 	defer patience.Stop()
 	select {
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -167,3 +170,147 @@
 	_, err := far.Read(make([]byte, 1))
 	require.ErrorIs(t, err, syscall.ECONNRESET, "what was not read shows as such to the peer")
 }
+
+// Guards against another attempt that is sent while the one given up is still out on an open connection: whoever closes a
+// connection that another is closing waits until it is closed.
+func TestCloseWaitsForTheClose(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	slow := &slowToClose{Conn: near, begun: make(chan struct{}), goes: make(chan struct{})}
+	c := NewConn(context.Background(), slow, 1000, func() {})
+	go c.Close(TimedOut)
+	<-slow.begun
+	require.Equal(t, TimedOut, c.Await(1), "this is known at once")
+	second := make(chan struct{})
+	go func() { c.Close(Cancelled); close(second) }()
+	select {
+	case <-second:
+		require.Fail(t, "the connection is still open")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(slow.goes)
+	<-second
+	require.Equal(t, TimedOut, c.End())
+}
+
+type slowToClose struct {
+	net.Conn
+	begun, goes chan struct{}
+}
+
+func (s *slowToClose) Close() error {
+	close(s.begun)
+	<-s.goes
+	return s.Conn.Close()
+}
+
+// Guards against a reset that takes the last answer with it, since something came in the moment in which this side shut the
+// connection, and against taking that: it comes after reading has stopped, and the peer finds the answer and then the end.
+func TestWhatCrossesTheShutdown(t *testing.T) {
+	c, far, d := pair(t, 1000)
+	require.True(t, c.Part(ShutDown))
+	require.Equal(t, ShutDown, c.Await(1), "reading has stopped")
+	c.Write("answer")
+	require.Equal(t, Open, c.Flush())
+	far.Write([]byte(strings.Repeat("query", 30_000)))
+	c.Linger(200*time.Millisecond, 1<<20)
+	c.Close(ShutDown)
+	require.Equal(t, 0, c.Buffered(), "nothing of it can be taken")
+	require.Equal(t, 1, d.Free())
+	got, err := io.ReadAll(far)
+	require.NoError(t, err, "an end, and no reset")
+	require.Equal(t, "answer", string(got))
+
+	c, far, _ = pair(t, 1000)
+	require.True(t, c.Part(ShutDown))
+	require.Equal(t, ShutDown, c.Await(1))
+	far.Write([]byte("query"))
+	far.Close()
+	begun := time.Now()
+	c.Linger(soonEnough, 1<<20)
+	require.Less(t, time.Since(begun), soonEnough, "it ends as the peer has ended")
+}
+
+const soonEnough = 2 * time.Second
+
+// Guards against a query that is lost since it came just as its connection was let go to make room: after reading was
+// interrupted, and before that is settled.
+func TestPartLeavesWhatWaits(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer far.Close()
+	near, err := l.Accept()
+	require.NoError(t, err)
+	held := &heldBack{TCPConn: near.(*net.TCPConn), interrupted: make(chan struct{}), goes: make(chan struct{})}
+	c := NewConn(context.Background(), held, 1000, func() {})
+	defer c.Close(ShutDown)
+	require.True(t, c.Part(Evicted))
+	<-held.interrupted
+	far.Write([]byte("q"))
+	require.Eventually(t, func() bool { return !c.nothingWaits() }, time.Second, time.Millisecond)
+	close(held.goes)
+	require.Equal(t, Open, c.Await(1))
+}
+
+// heldBack tells late that reading was interrupted.
+type heldBack struct {
+	*net.TCPConn
+	interrupted, goes chan struct{}
+	once              sync.Once
+}
+
+func (h *heldBack) Read(p []byte) (int, error) {
+	n, err := h.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.once.Do(func() {
+			close(h.interrupted)
+			<-h.goes
+		})
+	}
+	return n, err
+}
+
+// Guards against the spare being lost with connections that end, or kept by those that were read from.
+func TestSpareComesBack(t *testing.T) {
+	spare := NewSpare(6000, 4000)
+	var all []*Conn
+	var ends []*net.TCPConn
+	for range 3 {
+		c, far, _ := pair(t, 1000)
+		c.Attend(spare, func(Held) (bool, int) { return false, -1 })
+		go far.Write(make([]byte, 3500))
+		all, ends = append(all, c), append(ends, far)
+	}
+	left := func() int {
+		spare.mu.Lock()
+		defer spare.mu.Unlock()
+		return spare.left
+	}
+	held := func() (held, gone int) {
+		for _, c := range all {
+			if c.End() == TooLong {
+				gone++
+			} else if c.Buffered() == 3500 {
+				held++
+			}
+		}
+		return held, gone
+	}
+	require.Eventually(t, func() bool { h, g := held(); return h == 2 && g == 1 }, time.Second, time.Millisecond, "there is enough for two")
+	for i, c := range all {
+		if c.End() != Open {
+			continue
+		}
+		c.Read(make([]byte, 3500))
+		if left() == 0 {
+			ends[i].Write([]byte("q")) // the ring is taken into use again
+		} else {
+			ends[i].Close()
+		}
+		require.Eventually(t, func() bool { return left() >= 3000 }, time.Second, time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return left() == 6000 }, time.Second, time.Millisecond)
+}
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -29,12 +29,16 @@
 	for size < min(r.used+n, r.bound) {
 		size = min(2*size, r.bound)
 	}
-	if size == len(r.buf) {
-		return
+	if size != len(r.buf) {
+		r.move(size)
 	}
-	bigger := make([]byte, size)
-	r.peek(bigger[:r.used])
-	r.buf, r.head = bigger, 0
+}
+
+// move moves what is held to a buffer of another size, which must do for it.
+func (r *Ring) move(size int) {
+	other := make([]byte, size)
+	r.peek(other[:r.used])
+	r.buf, r.head = other, 0
 }
 
 // relax starts an empty ring afresh, and gives a large one back.
@@ -86,6 +90,17 @@
 	copy(into[n:], r.buf)
 }
 
+// peekAt copies bytes from an offset on without taking them, and tells whether so many are held.
+func (r *Ring) peekAt(at int, into []byte) bool {
+	if at+len(into) > r.used {
+		return false
+	}
+	for i := range into {
+		into[i] = r.buf[(r.head+at+i)%len(r.buf)]
+	}
+	return true
+}
+
 // discard drops the n oldest bytes. It leaves the free stretch where it is: somebody may be filling it.
 func (r *Ring) discard(n int) {
 	if n > 0 {
