--- /dev/null
+++ b/cmd/sedgespread/known_red_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against CI that passes over more than the tests that are known to fail, or over none that anybody would miss.
+func TestKnownRed(t *testing.T) {
+	for text, want := range map[string]string{
+		"": "",
+		"TestKnownRed: it is only an example (issue 33)\n":                "^(TestKnownRed)$",
+		"TestKnownRed: one (issue 33)\nTestScenarios: another (issue 34)": "^(TestKnownRed|TestScenarios)$",
+		"TestThatIsNot: there is no such test (issue 33)\n":               "fails: there is no test TestThatIsNot",
+		"TestKnown: a part of a name is not the name (issue 33)\n":        "fails: there is no test TestKnown",
+		"Test.*: a pattern (issue 33)\n":                                  "fails: is not",
+		"TestKnownRed: no issue\n":                                        "fails: is not",
+		"\n":                                                              "fails: is not",
+		strings.Repeat("TestKnownRed: four are too many (issue 33)\n", 4): "fails: more than three",
+	} {
+		file := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		cmd := exec.Command("bash", "../../.ci/known-red", file)
+		var said strings.Builder
+		cmd.Stderr = &said
+		out, err := cmd.Output()
+		if cause, fails := strings.CutPrefix(want, "fails: "); fails {
+			require.Error(t, err, text)
+			require.Contains(t, said.String(), cause, text)
+			require.Empty(t, out)
+			continue
+		}
+		require.NoError(t, err, said.String())
+		require.Equal(t, want, strings.TrimSpace(string(out)))
+		require.Contains(t, said.String(), strings.TrimSpace(text), "they are printed")
+	}
+}
