--- a/internal/emulator/trials/trials.go
+++ b/internal/emulator/trials/trials.go
@@ -19,8 +19,8 @@
 
 // Methods of the trials: a player's move, a look at the own moves, and the archive.
 var (
-	move    = sockets.Method{Name: "move-write", Effect: "once", Level: "update", Soft: 400 * time.Millisecond, Give: 2 * time.Second, Utility: 5, Late: 0.3}
-	own     = sockets.Method{Name: "own-read", Effect: "repeatable", Level: "own_writes", Soft: 400 * time.Millisecond, Give: 2 * time.Second, Utility: 2, Late: 0.3}
+	move    = sockets.Method{Name: "put", Effect: "once", Level: "update", Soft: 400 * time.Millisecond, Give: 2 * time.Second, Utility: 5, Late: 0.3}
+	own     = sockets.Method{Name: "get-own", Effect: "repeatable", Level: "own_writes", Soft: 400 * time.Millisecond, Give: 2 * time.Second, Utility: 2, Late: 0.3}
 	archive = sockets.Method{Name: "archive", Effect: "repeatable", Level: "loose", Soft: 800 * time.Millisecond, Give: 2 * time.Second, Utility: 1, Late: 0.5}
 	methods = []sockets.Method{move, own, archive}
 )
--- /dev/null
+++ b/internal/program/posting_test.go
@@ -0,0 +1,45 @@
+package program
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/protocol"
+	"sedgespread/internal/routing"
+
+	"github.com/sirupsen/logrus"
+)
+
+const goodPosting = `{"name":"n","seed":"8c1f","limits":{"cores":1,"memory_mb":64,"sockets":256},"discovery":"h:1",
+"known":{"generation":3,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:2","lifecycle":"SERVING","startedAtMs":5}]},
+"settings":{"classes":[{"name":"r","effect":"repeatable","aimUs":5000,"giveUpUs":90000}],"extra":{"readLevel":["loose"]}}}`
+
+// FuzzPosting guards against a file that is read into what can't be worked with, or that ends the program in a trace.
+func FuzzPosting(f *testing.F) {
+	f.Add(goodPosting)
+	for _, change := range [][2]string{{`"8c1f"`, `-1`}, {`64`, `1e99`}, {`[{"name"`, `[[{"name"`}, {`90000`, `99999999999999999999`},
+		{`"SERVING"`, `null`}, {`5}`, `-5}`}, {`["loose"]`, `[["loose"]]`}, {`"effect"`, `"Effect"`}, {`5000`, `0`}} {
+		f.Add(strings.Replace(goodPosting, change[0], change[1], 1))
+	}
+	log := logrus.New()
+	log.SetOutput(new(strings.Builder))
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := parsePosting([]byte(text))
+		if err != nil {
+			require.NotContains(t, err.Error(), "\n", "one line")
+			return
+		}
+		require.Positive(t, p.MemoryMB)
+		require.Positive(t, p.ConnectWithin)
+		require.Positive(t, p.WatchFor)
+		require.True(t, json.Valid([]byte(text)))
+		r, err := routing.New(p.Deployment, p.Seed, p.Known, log)
+		if err == nil {
+			r.ReportList(protocol.Targets{Whole: true})
+			require.Positive(t, r.LongestLeft())
+		}
+	})
+}
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -175,3 +175,80 @@
 	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
 	require.NotContains(t, s.asked()[1], "index=9")
 }
+
+// Guards against an answer taken for whole that has no length and whose connection is reset: a reset is no end.
+func TestResetIsNoEnd(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, c net.Conn) string {
+		switch {
+		case call == 2:
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+entry(2, false, primary, "DRAINING"))
+			time.Sleep(50 * time.Millisecond) // so that it has been read
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			return ""
+		case strings.Contains(path, "index"):
+			return ""
+		}
+		return whole(entry(1, true, primary, "SERVING"))
+	})
+	c := s.told(t, nil).client(t)
+	eventually(t, "it is asked again after the reset", func() bool {
+		require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+		return len(s.asked()) >= 3
+	})
+	require.Equal(t, "/api/targets", s.asked()[2])
+}
+
+// Guards against drains learned too late that begin as discovery comes back: it was down, with watches reset, and then turned
+// the first calls away.
+func TestDrainAsDiscoveryReturns(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	d := newDiscovery(t, primary)
+	v := start(t, d, nil)
+	eventually(t, "it is watched", func() bool { return d.calls() == 2 })
+	d.set(nil, "", true)
+	d.CloseClientConnections()
+	eventually(t, "it is asked and turned away", func() bool { return d.calls() >= 4 })
+	back := time.Now()
+	d.set(primary, "DRAINING", false)
+	require.Less(t, drained(t, v.client(t), back), 4*time.Second)
+}
+
+// Guards against a driver that learns nothing since its clients, or its members' connections, hold all descriptors while discovery
+// is down: it is heard as soon as it is back, and clients are served.
+func TestIdleClientsHoldTheDescriptors(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	d := newDiscovery(t, primary)
+	v := start(t, d, func(file map[string]any) { file["limits"].(map[string]any)["sockets"] = 84 })
+	eventually(t, "it is watched", func() bool { return d.calls() == 2 })
+	d.set(nil, "", true)
+	d.CloseClientConnections()
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() { // always as many as there is room for
+		defer close(done)
+		var idle []net.Conn
+		for {
+			select {
+			case <-stop:
+				for _, c := range idle {
+					c.Close()
+				}
+				return
+			case <-time.After(5 * time.Millisecond):
+				if c, err := net.Dial("tcp", v.address); err == nil {
+					idle = append(idle, c)
+				}
+			}
+		}
+	}()
+	eventually(t, "it is asked and turned away", func() bool { return d.calls() >= 4 })
+	back := time.Now()
+	d.set(primary, "DRAINING", false)
+	require.Less(t, drained(t, v.client(t), back), 4*time.Second)
+	d.set(primary, "SERVING", false)
+	eventually(t, "it is served again", func() bool { return v.client(t).ask(t, statement("write", 1000)) == "from p" })
+	close(stop)
+	<-done
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -96,7 +96,7 @@
 func (d *Discovery) get(life, by context.Context, path string) (t Targets, err error) {
 	if d.c == nil || !d.c.Quiet() { // what came unasked would be taken for the answer
 		d.Close(transport.Evicted)
-		c, end := transport.Dial(life, by, d.d, d.address, RingBytes)
+		c, end := transport.Dial(life, by, d.d, 0, d.address, RingBytes)
 		if end != transport.Open {
 			return t, end
 		}
--- a/internal/protocol/member.go
+++ b/internal/protocol/member.go
@@ -30,7 +30,7 @@
 // Connect opens a connection to a member, which may answer with up to most bytes, and waits until it is ready, until
 // by ends.
 func Connect(life, by context.Context, d *transport.Descriptors, address string, most int) (Member, transport.End) {
-	c, end := transport.Dial(life, by, d, address, RingBytes)
+	c, end := transport.Dial(life, by, d, keptForDiscovery, address, RingBytes)
 	if end != transport.Open {
 		return Member{}, end
 	}
@@ -47,6 +47,10 @@
 	return m, transport.Open
 }
 
+// keptForDiscovery is the descriptor that connections to members leave to the one to discovery: without a list to go by they
+// would be of less and less use.
+const keptForDiscovery = 1
+
 // endBy ends the connection when a context ends first; the function it gives calls that off.
 func (m Member) endBy(by context.Context) func() {
 	stop := context.AfterFunc(by, func() { m.Close(transport.EndOf(by)) })
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -21,7 +21,7 @@
 	require.NoError(t, err)
 	defer l.Close()
 	d := NewDescriptors(keptDescriptors + 1)
-	c, end := Dial(context.Background(), context.Background(), d, l.Addr().String(), bound)
+	c, end := Dial(context.Background(), context.Background(), d, 0, l.Addr().String(), bound)
 	require.Equal(t, Open, end)
 	t.Cleanup(func() { c.Close(ShutDown) })
 	far, err := l.Accept()
@@ -72,7 +72,7 @@
 	l.Close()
 	d := NewDescriptors(keptDescriptors + 1)
 	dial := func(by context.Context) End {
-		_, end := Dial(context.Background(), by, d, address, 1000)
+		_, end := Dial(context.Background(), by, d, 0, address, 1000)
 		return end
 	}
 	require.Equal(t, DialRefused, dial(context.Background()))
@@ -85,6 +85,8 @@
 	gone, leave := context.WithCancelCause(context.Background())
 	leave(Cancelled)
 	require.Equal(t, Cancelled, dial(gone))
+	_, end := Dial(context.Background(), context.Background(), d, 1, address, 1000)
+	require.Equal(t, NoDescriptor, end, "the last is kept for another")
 	require.True(t, d.Take(0), "a dial that failed holds no descriptor")
 	require.Equal(t, NoDescriptor, dial(context.Background()))
 }
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// Dial connects to an address until by ends; the connection itself lives as long as life.
-func Dial(life, by context.Context, d *Descriptors, address string, bound int) (*Conn, End) {
-	if !d.Take(0) {
+// Dial connects to an address until by ends, if that leaves at least spare descriptors free; the connection itself lives as
+// long as life.
+func Dial(life, by context.Context, d *Descriptors, spare int, address string, bound int) (*Conn, End) {
+	if !d.Take(spare) {
 		return nil, NoDescriptor
 	}
 	var dialer net.Dialer
