--- a/internal/briefing/start.go
+++ b/internal/briefing/start.go
@@ -66,7 +66,7 @@
 
 func (p *Parts) Allowed() rules.Allowed {
 	a := rules.Allowed{
-		CallOuts: int(p.IntegerOr("limits.mostTries", 1)),
+		Attempts: int(p.IntegerOr("limits.mostTries", 1)),
 		Copies:   p.BoolOr("limits.mayDuplicate", false),
 		Cancel:   p.BoolOr("limits.cancelling", false),
 		Probes:   p.BoolOr("limits.probing", false),
--- a/internal/program/gate_test.go
+++ b/internal/program/gate_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// slowly lets connections to members take their time to come up, and call-outs be given up only by closing.
+// slowly lets connections to members take their time to come up, and attempts be given up only by closing.
 func slowly(file map[string]any) {
 	limits := file["settings"].(map[string]any)["limits"].(map[string]any)
 	limits["connectTimeoutUs"] = 3_000_000
@@ -43,7 +43,7 @@
 	require.Equal(t, "from r", c.ask(t, statement("read", 1000)))
 }
 
-// Guards against work that begins for a client that left while its call-out waited for a connection, also where what is out
+// Guards against work that begins for a client that left while its attempt waited for a connection, also where what is out
 // can't be called off.
 func TestClientLeavesWhileConnecting(t *testing.T) {
 	for _, cancelling := range []bool{true, false} {
@@ -94,7 +94,7 @@
 	}
 }
 
-// Guards against a call-out that begins when its client's time is over.
+// Guards against an attempt that begins when its client's time is over.
 func TestTimeEndsWhileConnecting(t *testing.T) {
 	primary := newMember(t, "p", "leader")
 	c := start(t, newDiscovery(t, primary), slowly).client(t)
--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -11,7 +11,7 @@
 	"sedgespread/rules"
 )
 
-// looks makes probes over the connections that call-outs use too. While a member does not answer new ones are tried,
+// looks makes probes over the connections that attempts use too. While a member does not answer new ones are tried,
 // and if one left over from before still works once the member answers, that ran all along.
 type looks struct {
 	pools *pools
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -121,7 +121,7 @@
 }
 
 // A member's connections are in steady use where so many were given back within that time: more often than it is probed.
-// Where use is thinner, one left alone is a connection more for a call-out now and then.
+// Where use is thinner, one left alone is a connection more for an attempt now and then.
 const (
 	steadyUses = 4
 	busyFor    = time.Second
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -33,7 +33,7 @@
 	source      *source
 	ready       *readiness
 	confined    *confinement   // nil without an operator's file
-	tasks       errgroup.Group // call-outs, probes and the watch
+	tasks       errgroup.Group // attempts, probes and the watch
 }
 
 // stayFor is how long after a notice to leave clients may still be sent here.
@@ -96,7 +96,7 @@
 
 // welcome accepts clients until the door closes.
 func (p *Program) welcome(door *transport.Listener, sessions *errgroup.Group) error {
-	spare := p.descriptors.Limit() / 3 // for call-outs and probes
+	spare := p.descriptors.Limit() / 3 // for attempts and probes
 	for {
 		c, err := door.Accept(p.life, spare, p.lobby.evict)
 		if err != nil {
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -114,7 +114,7 @@
 	primary.does("silent")
 	query := statement("write", 300)
 	one.send(query)
-	eventually(t, "the call-out is out", func() bool { return len(primary.statements()) == 1 })
+	eventually(t, "the attempt is out", func() bool { return len(primary.statements()) == 1 })
 	require.Equal(t, "42601", other.ask(t, query))
 	require.Equal(t, "08007", one.reply(t))
 	require.Equal(t, "42601", other.ask(t, query), "nor is it taken when the other has just ended")
@@ -187,7 +187,7 @@
 	require.Len(t, other.statements(), before+5, "each once, and the member is not set aside")
 }
 
-// Guards against call-outs whose proof is taken wrongly: a write goes on only where it provably never ran.
+// Guards against attempts whose proof is taken wrongly: a write goes on only where it provably never ran.
 func TestMembersThatFail(t *testing.T) {
 	primary := newMember(t, "p", "leader")
 	c := start(t, newDiscovery(t, primary), nil).client(t)
@@ -363,7 +363,7 @@
 	primary.does("silent")
 	c := v.client(t)
 	c.send(statement("write", 2000))
-	eventually(t, "the call-out is out", func() bool { return len(primary.statements()) == 1 })
+	eventually(t, "the attempt is out", func() bool { return len(primary.statements()) == 1 })
 	c.Close()
 	primary.does("")
 	require.Equal(t, "from p", v.client(t).ask(t, statement("write", 1000)))
@@ -394,7 +394,7 @@
 	require.Equal(t, "empty", idle.ask(t, ""))
 	primary.does("silent")
 	busy.send(statement("write", 1200))
-	eventually(t, "the call-out is out", func() bool { return len(primary.statements()) == 1 })
+	eventually(t, "the attempt is out", func() bool { return len(primary.statements()) == 1 })
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	eventually(t, "it says so", func() bool { return strings.Contains(stderr.String(), "leaving") })
 	primary.does("")
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -128,18 +128,18 @@
 	return end
 }
 
-// steps makes the call-outs of an RPC, and gives its last step.
+// steps makes the attempts of an RPC, and gives its last step.
 func (p *Program) steps(c protocol.Client, h *held, s *protocol.Statement, trip *routing.Trip) routing.Step {
 	defer context.AfterFunc(c.Context(), trip.Leave)()
 	defer p.cancels.open(h, trip.Leave)()
 	defer c.Attend(p.spare)()
 	for {
 		step := trip.Pick()
-		if step.Act != routing.CallOut {
+		if step.Act != routing.Attempt {
 			return step
 		}
 		p.tasks.Go(func() error {
-			trip.Report(step.Number, p.callOut(step, s, trip))
+			trip.Report(step.Number, p.attempt(step, s, trip))
 			return nil
 		})
 	}
@@ -161,8 +161,8 @@
 	return c.Refuse(protocol.Canceled())
 }
 
-// callOut makes a call-out. The member is told how long this driver waits.
-func (p *Program) callOut(step routing.Step, s *protocol.Statement, trip *routing.Trip) routing.Outcome {
+// attempt makes an attempt. The member is told how long this driver waits.
+func (p *Program) attempt(step routing.Step, s *protocol.Statement, trip *routing.Trip) routing.Outcome {
 	may := func() bool { return trip.May(step.Number) }
 	return p.pools.ask(step.By, step.Member, step.Address, may, func(within time.Duration) []string {
 		return s.Within(max(1, within.Milliseconds()), step.Fence)
--- a/internal/program/shutdown_test.go
+++ b/internal/program/shutdown_test.go
@@ -60,7 +60,7 @@
 	require.Equal(t, "from p", rests.ask(t, statement("write", 1000)))
 	primary.does("silent")
 	c.send(statement("write", 4700))
-	eventually(t, "the call-out is out", func() bool { return len(primary.statements()) == 2 })
+	eventually(t, "the attempt is out", func() bool { return len(primary.statements()) == 2 })
 	begun := time.Now()
 	p.signal(syscall.SIGTERM)
 	p.says("leaving")
--- a/internal/protocol/statement.go
+++ b/internal/protocol/statement.go
@@ -197,7 +197,7 @@
 	return append(parts, fenceHead, fence.text(), " */")
 }
 
-// Fence says under which version a driver made a call-out, and which are valid at the epoch that it knows of. The zero
+// Fence says under which version a driver made an attempt, and which are valid at the epoch that it knows of. The zero
 // Fence is none.
 type Fence struct {
 	Version uint64
--- a/internal/protocol/statement_test.go
+++ b/internal/protocol/statement_test.go
@@ -91,7 +91,7 @@
 	})
 }
 
-// Guards against a store that does not learn under which version a call-out was made, or takes a client's word for it.
+// Guards against a store that does not learn under which version an attempt was made, or takes a client's word for it.
 func TestFences(t *testing.T) {
 	s, err := ParseStatement(strings.Replace(reading, "d=480", "d=480,fence=9", 1))
 	require.NoError(t, err)
--- a/internal/routing/confine.go
+++ b/internal/routing/confine.go
@@ -10,11 +10,11 @@
 // pass is what an RPC has of its tenant's cell.
 type pass struct {
 	ticket *cells.Ticket
-	risky  bool // a call-out of it may have run
+	risky  bool // an attempt of it may have run
 	held   bool // the answer has not been passed on yet
 
 	version versions.Number // of the rulebook, which it acts on; 0 for none
-	until   int64           // a call-out of it may still run until then
+	until   int64           // an attempt of it may still run until then
 	effect  audit.Effect
 	outcome audit.Outcome
 	begun   int64
@@ -75,9 +75,9 @@
 	t.take(rpc)
 }
 
-// callsOut tells the gate of a call-out, and whether it may be made. Where it may not, the RPC ends here: the driver
+// attempts tells the gate of an attempt, and whether it may be made. Where it may not, the RPC ends here: the driver
 // does not know where its tenant is now. The lock is held.
-func (t *Trip) callsOut(next func(rules.Result)) bool {
+func (t *Trip) attempts(next func(rules.Result)) bool {
 	r := t.r
 	if t.may() && !t.harmed() {
 		r.gate.CallOut(t.pass.ticket, r.now())
@@ -108,7 +108,7 @@
 	t.finish(Step{Act: PushBack})
 }
 
-// returned tells the gate how a call-out ended. An answer that comes when the lease has run out, or its tenant has been
+// returned tells the gate how an attempt ended. An answer that comes when the lease has run out, or its tenant has been
 // moved, is not passed on: others may have gone on without it. The lock is held.
 func (t *Trip) returned(c *call, v verdict, o Outcome) {
 	r, until, bytes := t.r, int64(0), 0
--- a/internal/routing/confine_test.go
+++ b/internal/routing/confine_test.go
@@ -70,7 +70,7 @@
 	r := confined(t, false)
 	trip := admit(t, r, "write")
 	step := pick(t, trip)
-	require.Equal(t, CallOut, step.Act, "the group is the cell's, not the client's")
+	require.Equal(t, Attempt, step.Act, "the group is the cell's, not the client's")
 	trip.Report(step.Number, ok(r.now()/milli, true))
 	require.Equal(t, Serve, pick(t, trip).Act)
 	figures := func() cells.Figures {
@@ -85,7 +85,7 @@
 	require.Equal(t, Drop, pick(t, left).Act)
 }
 
-// Guards against a driver that does not know where its tenant is: RPCs are pushed back before a call-out; after one, a
+// Guards against a driver that does not know where its tenant is: RPCs are pushed back before an attempt; after one, a
 // read is, and a write that may have run is aborted, whatever its answer says.
 func TestARunOutLeaseBinds(t *testing.T) {
 	r := confined(t, true)
@@ -102,8 +102,8 @@
 	require.Equal(t, PushBack, pick(t, read).Act)
 }
 
-// Guards against a second call-out in the old cell once its tenant is in the new one.
-func TestNoCallOutAfterTheSwitch(t *testing.T) {
+// Guards against a second attempt in the old cell once its tenant is in the new one.
+func TestNoAttemptAfterTheSwitch(t *testing.T) {
 	r := confined(t, true)
 	grant(t, r, time.Minute)
 	trip := admit(t, r, "write")
@@ -121,13 +121,13 @@
 	grant(t, r, time.Minute, cells.Entry{Epoch: 1, Tenant: "t", Cell: "one", Stage: cells.Holding, To: "two"})
 	held, gone, over := admit(t, r, "write"), admit(t, r, "write"), admit(t, r, "write")
 	require.Equal(t, PushBack, pick(t, over).Act, "no more than may be held")
-	require.Equal(t, CallOut, pick(t, admit(t, r, "read")).Act, "reads go on")
+	require.Equal(t, Attempt, pick(t, admit(t, r, "read")).Act, "reads go on")
 	gone.Leave()
 	require.Equal(t, Drop, pick(t, gone).Act)
 	report, _ := r.Report("n", 1)
 	require.Zero(t, report.Moves[0].Writes, "those that are held are not in flight")
 	grant(t, r, time.Minute, cells.Entry{Epoch: 2, Tenant: "t", Cell: "one", Stage: cells.Returning, To: "two"})
-	require.Equal(t, CallOut, pick(t, held).Act, "the move was called off")
+	require.Equal(t, Attempt, pick(t, held).Act, "the move was called off")
 	grant(t, r, time.Minute, cells.Entry{Epoch: 3, Tenant: "t", Cell: "one", Stage: cells.Closing, To: "two"})
 	asked++
 	short, err := r.Admit(&Call{ID: fmt.Sprint(asked), Method: "read", Key: "k", Left: 50 * milli})
@@ -142,7 +142,7 @@
 	trip := admit(t, r, "read")
 	select {
 	case s := <-trip.steps:
-		require.NotEqual(t, CallOut, s.Act)
+		require.NotEqual(t, Attempt, s.Act)
 	case <-time.After(20 * time.Millisecond):
 	}
 	trip.Leave()
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -10,8 +10,8 @@
 
 func (h *host) Now() int64 { return (*Router)(h).now() }
 
-func (h *host) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
-	return h.trips[id].callOut((*Router)(h), to, within, next)
+func (h *host) Attempt(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
+	return h.trips[id].attempt((*Router)(h), to, within, next)
 }
 
 func (h *host) Cancel(id rules.RPCID, number int) {
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -9,7 +9,7 @@
 	"sedgespread/rules"
 )
 
-// Outcome is how a call-out or a probe ended, as the network saw it.
+// Outcome is how an attempt or a probe ended, as the network saw it.
 type Outcome struct {
 	Answer *protocol.Answer // nil where no whole one came
 	Sent   bool             // the last byte of the statement was written
@@ -27,7 +27,7 @@
 	protocol.StateFenced:   {rules.NeverRan, rules.Moot},
 }
 
-// causes maps how a connection ended to why a call-out on it was not ok.
+// causes maps how a connection ended to why an attempt on it was not ok.
 var causes = map[transport.End]rules.Cause{
 	transport.DialRefused:  rules.NoConnect,
 	transport.DialTimedOut: rules.NoConnect,
@@ -76,7 +76,7 @@
 // unusable tells that the member could not follow the statement: no other will.
 func (o Outcome) unusable() bool { return o.refusedAs(protocol.StateSyntax) }
 
-// fenced tells that the store turned the version away under which the call-out was made.
+// fenced tells that the store turned the version away under which the attempt was made.
 func (o Outcome) fenced() bool { return o.refusedAs(protocol.StateFenced) }
 
 func (o Outcome) refusedAs(state string) bool {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -45,7 +45,7 @@
 	flushed  int64            // when the trail's spans were entered last
 
 	whole      wholeList
-	turnedAway int64 // call-outs that stores turned away for their versions
+	turnedAway int64 // attempts that stores turned away for their versions
 }
 
 // New reads what the module is told at its start. The list is the one last known.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -143,7 +143,7 @@
 
 	served := take(r, rules.RPC{Group: 1, Left: int64(time.Second)})
 	step := served.Pick()
-	require.Equal(t, CallOut, step.Act)
+	require.Equal(t, Attempt, step.Act)
 	require.Equal(t, "at-a", step.Address)
 	answer := ok(time.Now().UnixMilli(), true)
 	served.Report(step.Number, answer)
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -15,7 +15,7 @@
 type Act int
 
 const (
-	CallOut  Act = iota // make a call-out, and report how it ended
+	Attempt  Act = iota // make an attempt, and report how it ended
 	Serve               // pass on the answer
 	PushBack            // answer that trying again is harmless
 	Abort               // answer that it failed
@@ -25,13 +25,13 @@
 // Step is what comes next for an RPC.
 type Step struct {
 	Act      Act
-	Number   int // of the call-out
+	Number   int // of the attempt
 	Member   rules.MemberID
 	Address  string
 	ComeBack int64
-	By       context.Context // ends when the call-out is no longer waited for
+	By       context.Context // ends when the attempt is no longer waited for
 	Answer   *protocol.Answer
-	Fence    protocol.Fence // that a call-out is made with, for the store
+	Fence    protocol.Fence // that an attempt is made with, for the store
 }
 
 // Call is an RPC as a front hands it over, whatever its clients speak. Times and positions are nanoseconds.
@@ -48,7 +48,7 @@
 	Base   string
 }
 
-// Trip is an RPC on its way. It is over once Pick gave a step other than a call-out; results of call-outs that are
+// Trip is an RPC on its way. It is over once Pick gave a step other than an attempt; results of attempts that are
 // still out then are reported all the same.
 type Trip struct {
 	r     *Router
@@ -61,7 +61,7 @@
 	pass  *pass // nil where tenants have no cells
 }
 
-// call is a call-out.
+// call is an attempt.
 type call struct {
 	to     rules.MemberID
 	sent   int64
@@ -132,7 +132,7 @@
 	for r.trips[r.last] != nil {
 		r.last++
 	}
-	t := &Trip{r: r, id: r.last, name: name, steps: make(chan Step, r.allowed.CallOuts+1)}
+	t := &Trip{r: r, id: r.last, name: name, steps: make(chan Step, r.allowed.Attempts+1)}
 	r.trips[t.id] = t
 	return t
 }
@@ -143,7 +143,7 @@
 	t.r.driver.Take(rpc)
 }
 
-// May tells whether a call-out may still begin. It is asked just before the first byte is written, on whatever connection
+// May tells whether an attempt may still begin. It is asked just before the first byte is written, on whatever connection
 // that took whatever time to get.
 func (t *Trip) May(number int) bool {
 	t.r.mu.Lock()
@@ -168,7 +168,7 @@
 	}
 }
 
-// Report says how a call-out ended.
+// Report says how an attempt ended.
 func (t *Trip) Report(number int, o Outcome) {
 	t.r.mu.Lock()
 	defer t.r.mu.Unlock()
@@ -198,10 +198,10 @@
 	t.drop()
 }
 
-// callOut hands out a call-out. The lock is held.
-func (t *Trip) callOut(r *Router, to rules.MemberID, within int64, next func(rules.Result)) int {
+// attempt hands out an attempt. The lock is held.
+func (t *Trip) attempt(r *Router, to rules.MemberID, within int64, next func(rules.Result)) int {
 	n := len(t.calls)
-	if t.pass != nil && !t.callsOut(next) {
+	if t.pass != nil && !t.attempts(next) {
 		return n
 	}
 	span := time.Duration(max(within, 0))
@@ -209,7 +209,7 @@
 	by, cancel := context.WithCancelCause(by)
 	t.calls = append(t.calls, call{to: to, sent: r.now(), until: r.now() + int64(span), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
 	t.out++
-	t.steps <- Step{Act: CallOut, Number: n, Member: to, Address: r.registry.address(to), By: by, Fence: t.fence()}
+	t.steps <- Step{Act: Attempt, Number: n, Member: to, Address: r.registry.address(to), By: by, Fence: t.fence()}
 	return n
 }
 
--- a/internal/routing/versioned.go
+++ b/internal/routing/versioned.go
@@ -95,7 +95,7 @@
 	return t.r.gate.May(t.pass.ticket, now) && (t.r.holder == nil || t.r.holder.May(now, Rulebook, t.pass.version))
 }
 
-// ends says that nothing more is done under the version of an RPC, once the last call-out that may still run cannot any
+// ends says that nothing more is done under the version of an RPC, once the last attempt that may still run cannot any
 // more. The lock is held.
 func (t *Trip) ends() {
 	n := t.pass.version
@@ -196,7 +196,7 @@
 	}
 }
 
-// pushesBack ends an RPC that was taken and had no call-out: trying again is harmless.
+// pushesBack ends an RPC that was taken and had no attempt: trying again is harmless.
 func (t *Trip) pushesBack() {
 	t.finish(Step{Act: PushBack, ComeBack: min(noVersion, t.r.allowed.ComeBack)})
 }
--- a/internal/routing/versioned_test.go
+++ b/internal/routing/versioned_test.go
@@ -29,7 +29,7 @@
 	require.Equal(t, o.Act, r.holder.Sightings()[0].Acts)
 }
 
-// Guards against RPCs that begin without a version to act on, and call-outs that do not say under which they are made.
+// Guards against RPCs that begin without a version to act on, and attempts that do not say under which they are made.
 func TestRPCsActOnAVersion(t *testing.T) {
 	r := confined(t, false)
 	r.Heed(versions.NewHolder())
@@ -37,7 +37,7 @@
 	heeds(t, r, true)
 	trip := admit(t, r, "write")
 	step := pick(t, trip)
-	require.Equal(t, CallOut, step.Act)
+	require.Equal(t, Attempt, step.Act)
 	require.Equal(t, protocol.Fence{Version: 2, Epoch: 1, Valid: []uint64{2}}, step.Fence)
 	require.Equal(t, []versions.Number{2}, r.holder.Sightings()[0].Flight)
 	trip.Report(step.Number, ok(r.now()/milli, true))
@@ -56,7 +56,7 @@
 	require.EqualValues(t, 2, single.Version)
 }
 
-// Guards against an answer that is passed on, or a further call-out, under a version that was closed meanwhile.
+// Guards against an answer that is passed on, or a further attempt, under a version that was closed meanwhile.
 func TestAClosedVersionIsNotActedOn(t *testing.T) {
 	r := confined(t, false)
 	heeds(t, r, false)
@@ -70,7 +70,7 @@
 	orders(t, r, time.Hour, versions.Order{Epoch: 3, Act: 4, Hold: 4, Text: "after", Keep: 3})
 	held.Report(step.Number, Outcome{Answer: nil, End: 0, Sent: false})
 	next := pick(t, held)
-	require.Equal(t, CallOut, next.Act, "one that may be acted on until then is")
+	require.Equal(t, Attempt, next.Act, "one that may be acted on until then is")
 	require.EqualValues(t, 3, next.Fence.Version)
 	orders(t, r, time.Hour, versions.Order{Epoch: 4, Act: 4, Hold: 4, Text: "after"})
 	held.Report(next.Number, ok(r.now()/milli, true))
@@ -94,13 +94,13 @@
 	}
 	trip = admit(t, r, "write")
 	step = pick(t, trip)
-	require.Equal(t, CallOut, step.Act, "the council still holds it valid")
+	require.Equal(t, Attempt, step.Act, "the council still holds it valid")
 	trip.Report(step.Number, Outcome{Sent: true, End: 1})
 	next := pick(t, trip)
 	require.NotEqual(t, PushBack, next.Act, "a write that may have run")
 }
 
-// Guards against a version that is said to have nothing in flight while a call-out that was given up may still run.
+// Guards against a version that is said to have nothing in flight while an attempt that was given up may still run.
 func TestWhatMayStillRunIsInFlight(t *testing.T) {
 	r := confined(t, false)
 	heeds(t, r, false)
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -41,7 +41,7 @@
 	free    []int64  // handles that have fired
 }
 
-// pending are the call-outs of one RPC. It is dropped once the RPC has ended and all its results are in.
+// pending are the attempts of one RPC. It is dropped once the RPC has ended and all its results are in.
 type pending struct {
 	out   int
 	ended bool
@@ -321,7 +321,7 @@
 
 func (d *driver) Now() int64 { return d.w.now }
 
-func (d *driver) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
+func (d *driver) Attempt(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
 	p := d.rpcs[id]
 	n := len(p.next)
 	p.next = append(p.next, next)
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -30,7 +30,7 @@
 	return c, far.(*net.TCPConn), d
 }
 
-// Guards against ends that are taken for one another: what a call-out proves hangs on them.
+// Guards against ends that are taken for one another: what an attempt proves hangs on them.
 func TestEnds(t *testing.T) {
 	for want, act := range map[End]func(c *Conn, far *net.TCPConn) End{
 		ClosedByPeer: func(c *Conn, far *net.TCPConn) End { far.Close(); return c.Await(1) },
--- a/rules/api.go
+++ b/rules/api.go
@@ -74,9 +74,9 @@
 
 // Allowed is what the deployment lets a driver do.
 type Allowed struct {
-	CallOuts int   // most call-outs for one RPC
-	Copies   bool  // two call-outs of an RPC may be out at once
-	Cancel   bool  // call-outs may be cancelled
+	Attempts int   // most attempts for one RPC
+	Copies   bool  // two attempts of an RPC may be out at once
+	Cancel   bool  // attempts may be cancelled
 	Probes   bool  // members may be probed
 	ComeBack int64 // longest time to come back that clients heed, 0 for none
 }
@@ -142,7 +142,7 @@
 	Opened   int64 // when the connection that it came on was opened, 0 when not known
 }
 
-// Proof says what a result proves about the effect of a call-out.
+// Proof says what a result proves about the effect of an attempt.
 type Proof int
 
 const (
@@ -152,7 +152,7 @@
 	MayHaveRun
 )
 
-// Cause says why a call-out was not ok.
+// Cause says why an attempt was not ok.
 type Cause int
 
 const (
@@ -167,7 +167,7 @@
 	Cancelled
 )
 
-// Result is how a call-out ended, or that its stream started. Final: the RPC itself has ended.
+// Result is how an attempt ended, or that its stream started. Final: the RPC itself has ended.
 type Result struct {
 	Proof Proof
 	Cause Cause
@@ -185,7 +185,7 @@
 // Host is what the module asks of whatever drives it. It keeps each closure and hands it the result.
 type Host interface {
 	Now() int64
-	CallOut(id RPCID, to MemberID, within int64, next func(Result)) (number int)
+	Attempt(id RPCID, to MemberID, within int64, next func(Result)) (number int)
 	Cancel(id RPCID, number int)
 	PushBack(id RPCID, comeBack int64)
 	Abort(id RPCID)
--- a/rules/cold_fleet_test.go
+++ b/rules/cold_fleet_test.go
@@ -63,7 +63,7 @@
 	cold     []rules.MemberID
 	restart  int64
 	got      map[rules.MemberID][]int64 // when a cold member got something from a driver that had been told
-	failing  float64                    // share of call-outs that end in an error, to be made again
+	failing  float64                    // share of attempts that end in an error, to be made again
 	lossy    bool                       // news among drivers get lost
 	probes   int
 	answered int
@@ -112,7 +112,7 @@
 	}
 }
 
-func (h *inFleet) CallOut(id rules.RPCID, to rules.MemberID, _ int64, next func(rules.Result)) int {
+func (h *inFleet) Attempt(id rules.RPCID, to rules.MemberID, _ int64, next func(rules.Result)) int {
 	if h.told && slices.Contains(h.cold, to) {
 		h.got[to] = append(h.got[to], h.now)
 	}
@@ -170,7 +170,7 @@
 	}
 	h.open = map[rules.RPCID]bool{}
 	h.d = rules.New(h, h.rng.Int63(), methods, rules.Crew{Drivers: h.crew, News: 31}, rules.Store{},
-		rules.Allowed{CallOuts: 10, Cancel: true, Probes: true}, rules.Thaw{Share: share, WarmAfter: int64(warm), Multiple: multiple}, rules.Notice{})
+		rules.Allowed{Attempts: 10, Cancel: true, Probes: true}, rules.Thaw{Share: share, WarmAfter: int64(warm), Multiple: multiple}, rules.Notice{})
 	h.list(true)
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -32,19 +32,19 @@
 	holdPoll      = 100 * ms // an RPC held looks again this often
 	unreached     = 0.45     // share of its client's time for which an RPC that no member got is held
 	firstTook     = 100 * ms // answer time to expect before any was seen
-	firstGap      = 2 * sec  // time between call-outs of a group to expect
-	firstRoom     = 9.0      // call-outs of all drivers that a member may hold, before its answers teach better
+	firstGap      = 2 * sec  // time between attempts of a group to expect
+	firstRoom     = 9.0      // attempts of all drivers that a member may hold, before its answers teach better
 	mostLooks     = 2        // replicas probed for one read
-	savedUp       = 2.0      // call-outs of a group for which a cold member's share is saved up
+	savedUp       = 2.0      // attempts of a group for which a cold member's share is saved up
 	readShare     = 0.6      // of the primary's room that reads may fill
 	jammed        = 2.0      // the primary helps out when it would answer so many times sooner
 	crowded       = 1.3      // or so many times, of many drivers
 	strained      = 0.33     // smoothed share of the soft deadline that answers may take
 	quick         = 0.2      // strain below which what is overdue was lost, not slow
-	strikesOut    = 3        // call-outs lost in a row that set a member aside
+	strikesOut    = 3        // attempts lost in a row that set a member aside
 	wrongShare    = 0.2      // of an answer in the smoothed share of errors
 	wrongFor      = 10 * sec // errors count ever less, and no more after this time
-	overtakers    = 2        // answers out of turn that show a call-out lost or heavy, and its member sound
+	overtakers    = 2        // answers out of turn that show an attempt lost or heavy, and its member sound
 )
 
 // New makes a driver that knows nothing yet; the first List follows at once.
@@ -342,7 +342,7 @@
 	return false
 }
 
-// pick names the member for the next call-out of an RPC, or nobody if it has to wait. Where none passes, one
+// pick names the member for the next attempt of an RPC, or nobody if it has to wait. Where none passes, one
 // of many drivers may choose a replica whose position is old: it is probed first. Guards the primary against
 // reads of drivers that see little. Could harm where probes are dear.
 func (d *Driver) pick(c *call) member {
@@ -394,7 +394,7 @@
 	return !d.many() || !c.isRead() || d.strain[m] < (quick+c.lot*(2*strained-quick))*(1+age)
 }
 
-// fits tells whether a member may get a call-out of an RPC: it has room, and is expected to answer while that
+// fits tells whether a member may get an attempt of an RPC: it has room, and is expected to answer while that
 // is of use. Guards against work in vain for clients of little patience, which would keep a busy member busy.
 func (d *Driver) fits(m member, c *call, share float64) bool {
 	inTime := d.host.Now()+int64(d.took[m]) <= c.last()
@@ -466,7 +466,7 @@
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
-// May tells whether a call-out that was made may still begin: it is asked just before its first byte is
+// May tells whether an attempt that was made may still begin: it is asked just before its first byte is
 // written. Guards against whatever changed since the decision, while a connection was waited for: the list,
 // the primary, positions, the window for repeats, the deadline, a client that left.
 func (d *Driver) May(id RPCID, to MemberID) bool {
@@ -489,7 +489,7 @@
 	return d.state[m] == Healthy || d.state[m] == Gone && d.notice.DrainOnly
 }
 
-// mayRepeat keeps the rule on effects for a call-out that would follow others.
+// mayRepeat keeps the rule on effects for an attempt that would follow others.
 func (d *Driver) mayRepeat(c *call, m member) bool {
 	inScope := c.method.Scope != ScopeZone || d.zone[m] == c.riskZone
 	dropped := c.method.Effect == Tokened && d.host.Now()-c.risk < c.method.Window && inScope
@@ -522,10 +522,10 @@
 	d.step(c)
 }
 
-// step makes the next call-out of an RPC, or holds it.
+// step makes the next attempt of an RPC, or holds it.
 func (d *Driver) step(c *call) {
 	if m := d.pick(c); m != nobody {
-		d.callOut(c, m)
+		d.attempt(c, m)
 		return
 	}
 	for _, m := range c.group.members { // nobody told of it yet
@@ -574,7 +574,7 @@
 	for _, c := range queue {
 		if looks := c.looks; !stuck[c.Method] {
 			if m := d.pick(c); m != nobody {
-				d.callOut(c, m)
+				d.attempt(c, m)
 				continue
 			}
 			alike := c.method.Need != NeedSession && c.Floor == 0 && len(c.tried) == 0 && c.risk == 0
@@ -584,7 +584,7 @@
 	}
 }
 
-func (d *Driver) callOut(c *call, m member) {
+func (d *Driver) attempt(c *call, m member) {
 	now := d.host.Now()
 	c.tries++
 	c.tried = append(c.tried, m)
@@ -598,7 +598,7 @@
 	g.last, c.held = now, false
 	number, counted, wait := 0, true, d.tooLong(c, m)
 	before := d.borne[m] + int64(d.out[m]) // answers to come first where none overtakes another
-	number = d.host.CallOut(c.ID, d.ids[m], d.patience(c, m), func(r Result) {
+	number = d.host.Attempt(c.ID, d.ids[m], d.patience(c, m), func(r Result) {
 		if r.Proof != Started && counted {
 			d.out[m]--
 		}
@@ -614,7 +614,7 @@
 	})
 }
 
-// patience is the time-out of a call-out. Where copies are not allowed an idempotent read leaves a member
+// patience is the time-out of an attempt. Where copies are not allowed an idempotent read leaves a member
 // that keeps it waiting too long while there is time for another; else it waits to the deadline.
 func (d *Driver) patience(c *call, m member) int64 {
 	if wait := d.tooLong(c, m) * 2; !d.allowed.Copies && d.another(c, wait) {
@@ -627,13 +627,13 @@
 	return max(int64(4*d.took[m]), c.method.SoftDeadline*6/10)
 }
 
-// another tells whether a further call-out of an idempotent read may be made after a wait, and be in time.
+// another tells whether a further attempt of an idempotent read may be made after a wait, and be in time.
 func (d *Driver) another(c *call, wait int64) bool {
-	may := c.method.Effect == Idempotent && c.isRead() && c.tries < d.allowed.CallOuts && d.spare >= 1
+	may := c.method.Effect == Idempotent && c.isRead() && c.tries < d.allowed.Attempts && d.spare >= 1
 	return may && d.host.Now()+wait+int64(c.group.took) <= c.deadline
 }
 
-// overdue deals with a call-out that has taken too long, and tells whether it still holds room of its member.
+// overdue deals with an attempt that has taken too long, and tells whether it still holds room of its member.
 // On a member that answers others quickly it is lost, not slow: guards against members and links that lose a
 // part of what they are sent. Could harm where a few RPCs take far longer than all others, by crowding.
 func (d *Driver) overdue(c *call, m member, number int) (holds bool) {
@@ -643,15 +643,15 @@
 	if !c.ended && d.allowed.Copies && len(c.out) == 1 && d.another(c, 0) {
 		if to := d.pick(c); to != nobody { // a second copy
 			d.spare--
-			d.callOut(c, to)
+			d.attempt(c, to)
 		}
 	}
 	return d.strain[m] > quick
 }
 
-// settle takes the result of a call-out and decides what follows.
+// settle takes the result of an attempt and decides what follows.
 func (d *Driver) settle(c *call, m member, sent int64, number int, r Result) {
-	if r.Proof == Started { // the call-out is the client's now; what it ends with ends the RPC
+	if r.Proof == Started { // the attempt is the client's now; what it ends with ends the RPC
 		c.started = true
 		d.cancelOut(c, number)
 		return
@@ -679,7 +679,7 @@
 	if r.Proof == MayHaveRun && c.risk == 0 {
 		c.risk, c.riskZone = sent, d.zone[m]
 	}
-	over := c.started || c.tries >= d.allowed.CallOuts || d.host.Now() >= c.deadline
+	over := c.started || c.tries >= d.allowed.Attempts || d.host.Now() >= c.deadline
 	switch {
 	case len(c.out) > 0:
 	case over || !d.mayRepeat(c, m) || r.Proof == MayHaveRun && d.spare < 1:
@@ -747,7 +747,7 @@
 	return m.SoftDeadline + int64(m.LateUtility*float64(max(0, m.Deadline-m.SoftDeadline)))
 }
 
-// teach learns how long a member takes, also from a call-out waited for in vain: guards against members so
+// teach learns how long a member takes, also from an attempt waited for in vain: guards against members so
 // crowded that none of their answers counts. Its room grows while answers come well in time, doubling on a
 // trickle, and shrinks while they strain the soft deadline: such work is better held than done in vain.
 func (d *Driver) teach(m member, took float64, soft int64, ok bool) {
@@ -799,7 +799,7 @@
 	d.strain[m] += weight * (took/float64(soft) - d.strain[m])
 }
 
-// strike counts call-outs lost in a row. Guards against members that answer probes but finish nothing.
+// strike counts attempts lost in a row. Guards against members that answer probes but finish nothing.
 func (d *Driver) strike(m member, now int64) {
 	d.lost[m]++
 	if d.lost[m] >= strikesOut && now >= d.aside[m] {
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -25,7 +25,7 @@
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
 			p := &player{t: t, now: int64(time.Hour), acts: map[int]string{}, rpcs: map[rules.RPCID]*seen{},
-				sent: map[int]int{}, crew: rules.Crew{Drivers: 3}, allowed: rules.Allowed{CallOuts: 6, Cancel: true, Probes: true}}
+				sent: map[int]int{}, crew: rules.Crew{Drivers: 3}, allowed: rules.Allowed{Attempts: 6, Cancel: true, Probes: true}}
 			for i, line := range strings.Split(string(text), "\n") {
 				p.at = fmt.Sprintf("%s:%d: %s", file, i+1, line)
 				for _, step := range strings.Split(line, ";") {
@@ -82,9 +82,9 @@
 	p.timers = append(p.timers, timer{p.now + max(wait, 0), do})
 }
 
-func (p *player) CallOut(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
+func (p *player) Attempt(id rules.RPCID, to rules.MemberID, within int64, next func(rules.Result)) int {
 	r := p.rpcs[id]
-	require.Empty(p.t, r.answer, "%s: call-out after the answer", p.at)
+	require.Empty(p.t, r.answer, "%s: attempt after the answer", p.at)
 	r.to, r.next, r.within = append(r.to, int(to)), append(r.next, next), within
 	r.sentAt = append(r.sentAt, p.now)
 	p.sent[int(to)]++
@@ -337,7 +337,7 @@
 	}
 }
 
-// result ends the last call-out of an RPC that is still out.
+// result ends the last attempt of an RPC that is still out.
 func (p *player) result(w []string) {
 	rpc := p.rpcs[rules.RPCID(p.number(w[0]))]
 	n := len(rpc.next) - 1
@@ -374,7 +374,7 @@
 
 func (p *player) expect(w []string) {
 	switch w[0] {
-	case "out": // the RPC's call-outs so far went to these members; | parts those allowed
+	case "out": // the RPC's attempts so far went to these members; | parts those allowed
 		rpc := p.rpcs[rules.RPCID(p.number(w[1]))]
 		require.Len(p.t, rpc.to, len(w)-2, p.at)
 		for i, allowed := range w[2:] {
@@ -383,7 +383,7 @@
 	case "answer":
 		got := p.rpcs[rules.RPCID(p.number(w[1]))].answer
 		require.Equal(p.t, strings.TrimPrefix(w[2], "none"), got, p.at)
-	case "sent": // so many call-outs went to a member so far: "sent 3 0..2"
+	case "sent": // so many attempts went to a member so far: "sent 3 0..2"
 		low, high, _ := strings.Cut(w[2], "..")
 		require.GreaterOrEqual(p.t, p.sent[p.number(w[1])], p.number(low), p.at)
 		require.LessOrEqual(p.t, p.sent[p.number(w[1])], p.number(high), p.at)
@@ -391,7 +391,7 @@
 		counts := map[string]int{"watches": p.watches, "probes": p.probes, "closes": p.closes, "forgets": p.forgot,
 			"messages": p.tells}
 		require.Equal(p.t, p.number(w[1]), counts[w[0]], p.at)
-	case "may": // a call-out may begin, or a probe where no RPC is named: "may 3 2 no", "may probe 2 yes"
+	case "may": // an attempt may begin, or a probe where no RPC is named: "may 3 2 no", "may probe 2 yes"
 		may, to := false, rules.MemberID(p.number(w[2]))
 		if w[1] == "probe" {
 			may = p.d.MayLook(to)
--- a/rules/state.go
+++ b/rules/state.go
@@ -43,9 +43,9 @@
 type health struct {
 	heard, asking, aside []int64   // last answer; the unanswered probe's time; set aside until
 	silent, back         []bool    // does not answer; on a trickle that doubles
-	out, lost, refused   []int     // call-outs out, and those lost and refused in a row
+	out, lost, refused   []int     // attempts out, and those lost and refused in a row
 	first                float64   // room before answers teach better
-	room, took, strain   []float64 // call-outs it may hold; smoothed answer time, and over soft deadline
+	room, took, strain   []float64 // attempts it may hold; smoothed answer time, and over soft deadline
 	errors               []float64 // smoothed share of answers that were errors
 	wrong                []int64   // when the last of them came
 	since                []int64   // when it fell silent
@@ -68,8 +68,8 @@
 	since     int64 // date of the evidence that named the primary
 	held      []*call
 	last      int64
-	gap, took float64 // smoothed: between this driver's call-outs; answer time
-	bore      float64 // members that the call-outs were for
+	gap, took float64 // smoothed: between this driver's attempts; answer time
+	bore      float64 // members that the attempts were for
 }
 
 // call is an RPC being worked on.
@@ -79,12 +79,12 @@
 	group                *group
 	deadline, soft       int64
 	tries                int
-	out                  []int // numbers of the call-outs still out
+	out                  []int // numbers of the attempts still out
 	tried                []member
-	risk                 int64 // when the first call-out that may have run was sent, 0 for none
+	risk                 int64 // when the first attempt that may have run was sent, 0 for none
 	riskZone             string
 	held, started, ended bool   // started: its answer has begun to stream
-	reached              bool   // a member got a call-out for it
+	reached              bool   // a member got an attempt for it
 	looked               member // the replica probed for it last
 	looks                int
 	lot                  float64 // drawn once, for whether it may go to a strained primary
@@ -96,8 +96,8 @@
 	sightings
 	health
 	thawing
-	spare         float64 // further call-outs that may be made now
-	success       float64 // share of recent further call-outs that were ok
+	spare         float64 // further attempts that may be made now
+	success       float64 // share of recent further attempts that were ok
 	host          Host
 	rng           *rand.Rand
 	methods       []Method
@@ -149,7 +149,7 @@
 }
 
 // bearers counts the members of a group that the list has, or that were heard since: those that left long ago
-// bore none of its call-outs.
+// bore none of its attempts.
 func (d *Driver) bearers(g *group, since int64) (count float64) {
 	for _, m := range g.members {
 		if d.state[m] == Healthy || d.heard[m] > since {
@@ -263,7 +263,7 @@
 	d.cancelOut(c, -1)
 }
 
-// cancelOut calls off what is out for an RPC, but for one call-out.
+// cancelOut calls off what is out for an RPC, but for one attempt.
 func (d *Driver) cancelOut(c *call, but int) {
 	for _, n := range c.out {
 		if d.allowed.Cancel && n != but {
