--- a/internal/program/settings_test.go
+++ b/internal/program/settings_test.go
@@ -40,7 +40,7 @@
 			"worth": rng.Float64() * 50, "lateWorth": 0.1 + rng.Float64()*0.8, "stream": false})
 		read, bounds = append(read, c.level), append(bounds, 2_000_000+rng.Intn(1_000_000))
 	}
-	settings := map[string]any{"classes": list, "fleetSize": 1 + rng.Intn(40), "discovery": "subscribe", "workload": word(rng),
+	settings := map[string]any{"classes": list, "fleetSize": 1 + rng.Intn(40), "discovery": []string{"subscribe", "automatic"}[rng.Intn(2)], "workload": word(rng),
 		"az": word(rng), "azs": []any{word(rng), word(rng)}, "layers": []any{word(rng)}, "flavors": []any{word(rng)},
 		"extra": map[string]any{"readLevel": read, "maxAgeUs": bounds, "guards": []string{"none", "reject", "hold"}[rng.Intn(3)],
 			"holdsForUs": rng.Intn(300_000), "tokens": "client", word(rng): word(rng)},
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -252,3 +252,15 @@
 	close(stop)
 	<-done
 }
+
+// Guards against a driver that never asks for a list since its settings say that lists are pushed: they are, to an agent at
+// discovery's address.
+func TestPushedLists(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	d := newDiscovery(t, primary)
+	c := start(t, d, func(file map[string]any) { file["settings"].(map[string]any)["discovery"] = "automatic" }).client(t)
+	require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
+	eventually(t, "it is watched", func() bool { return d.calls() == 2 })
+	d.set(primary, "DRAINING", false)
+	require.Less(t, drained(t, c, time.Now()), 2*time.Second)
+}
