An agent that was silent is asked again within the drain grace: what it has counts at once when it is back

At fault: ListFailed and answerWithin, which knew one kind of discovery.

Change: where lists are pushed a call for the whole list and the pause after it take a quarter of the grace each, by the settings; an agent has no other callers. Where they are asked for nothing is different. TestAgentReturns fails without it.

--- a/internal/briefing/start.go
+++ b/internal/briefing/start.go
@@ -89,6 +89,7 @@
 	return rules.Notice{
 		Asked:     Choice(p, "discovery", p.At("discovery"), asks),
 		DrainOnly: p.BoolOr("safety.softRemoval", false),
+		Grace:     p.Time("safety.drainGraceUs"),
 	}
 }
 
--- a/internal/program/follow.go
+++ b/internal/program/follow.go
@@ -17,12 +17,16 @@
 // may take, with a second to spare. A call that fails is followed by another after a pause of the module's, 2 s at the most: once
 // discovery can be reached again that takes answerWithin, for a call that began too early and hangs, the pause, and lateBy for
 // one that is answered, 5 s again, and half of that or less where failures show at once, as they do where it is down.
+//
+// Where lists are pushed an agent is asked, and what it has when it comes back from an outage counts at once: then a call that
+// hangs and the pause after it take a quarter each of the grace in which a drain has to be kept.
 const (
 	toldWithin   = 6 * time.Second // a change counts as told so long after discovery had it and could be reached
 	answerWithin = toldWithin / 3  // for a call that does not wait: it is one of many, which are handled in turn
 	watchWait    = toldWithin / 3  // a watch waits so long at the most, though it may wait longer
 	lateBy       = toldWithin / 6  // and its answer may come so much later
-	earlier      = 0.25            // waits are shorter by up to this share, by lot, so that drivers do not ask all at once
+	leastAnswer  = 100 * time.Millisecond
+	earlier      = 0.25 // waits are shorter by up to this share, by lot, so that drivers do not ask all at once
 )
 
 // source is where the list comes from: an address, which changes with the file, and whoever follows it there, one at a time.
@@ -136,7 +140,7 @@
 }
 
 func (p *Program) askWhole(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
-	by, stop := context.WithTimeoutCause(ctx, answerWithin, transport.TimedOut)
+	by, stop := context.WithTimeoutCause(ctx, p.posting.AnswerWithin, transport.TimedOut)
 	defer stop()
 	return d.Whole(ctx, by)
 }
--- a/internal/program/posting.go
+++ b/internal/program/posting.go
@@ -29,6 +29,7 @@
 	ConnectWithin           time.Duration
 	IdleFor                 time.Duration    // a connection to a member may be idle so long
 	WatchFor                time.Duration    // a watch waits for news so long
+	AnswerWithin            time.Duration    // discovery may take so long for an answer
 	Orders                  *operator.Orders // nil without an operator's file
 	path, ordersPath        string
 }
@@ -155,6 +156,10 @@
 	p.ConnectWithin = span("limits.connectTimeoutUs", usualConnect)
 	p.IdleFor = span("limits.keepaliveUs", usualIdle)
 	p.WatchFor = min(longestWatch, span("safety.askEveryUs", usualWatch))
+	p.AnswerWithin = answerWithin
+	if notice := p.Deployment.Notice(); !notice.Asked {
+		p.AnswerWithin = min(answerWithin, max(leastAnswer, time.Duration(notice.Grace/4)))
+	}
 	if !p.Deployment.BoolOr("limits.peerMessages", false) {
 		p.PeersAll = ""
 	}
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -264,3 +265,32 @@
 	d.set(primary, "DRAINING", false)
 	require.Less(t, drained(t, c, time.Now()), 2*time.Second)
 }
+
+// Guards against a drain learned too late of an agent that was silent for a while, and whose list counts as told as it is back.
+func TestAgentReturns(t *testing.T) {
+	const grace = time.Second
+	primary := newMember(t, "p", "leader")
+	var back atomic.Bool
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, _ net.Conn) string {
+		switch {
+		case call == 1:
+			return whole(entry(1, true, primary, "SERVING"))
+		case strings.Contains(path, "index") || !back.Load():
+			return ""
+		}
+		return whole(entry(2, true, primary, "DRAINING"))
+	})
+	v := s.told(t, func(file map[string]any) {
+		settings := file["settings"].(map[string]any)
+		settings["discovery"] = "automatic"
+		settings["safety"] = map[string]any{"askEveryUs": 20_000_000, "drainGraceUs": grace.Microseconds()}
+	})
+	eventually(t, "the silence is noticed", func() bool { return len(s.asked()) >= 3 })
+	time.Sleep(time.Second)
+	back.Store(true)
+	returned := time.Now()
+	c := v.client(t)
+	for c.ask(t, statement("write", 300)) == "from p" {
+		require.Less(t, time.Since(returned), grace)
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -62,7 +62,7 @@
 		return nil, told.Err
 	}
 	r.allowed = allowed
-	notice.Asked = true // a list that is pushed is pushed to an agent, which is asked as discovery is
+	notice.Agent, notice.Asked = !notice.Asked, true // a list that is pushed is pushed to an agent, which is asked
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.driver = rules.New((*host)(r), seed, r.methods, crew, store, allowed, thaw, notice)
--- a/rules/api.go
+++ b/rules/api.go
@@ -90,8 +90,10 @@
 
 // Notice says how the list reaches a driver and what it binds.
 type Notice struct {
-	Asked     bool // the list comes only when asked for
-	DrainOnly bool // gone alone does not bind, only draining
+	Asked     bool  // the list comes only when asked for
+	Agent     bool  // of an agent beside the driver, which counts as told once the agent has it
+	Grace     int64 // until when something new may go to a member once told that it drains
+	DrainOnly bool  // gone alone does not bind, only draining
 }
 
 // RPC is one client call. Left is the client's time for this try.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -116,10 +116,15 @@
 	}
 }
 
-// ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again.
+// ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again. An
+// agent has no other callers, and what it has when it is back counts at once: it is asked within the grace.
 func (d *Driver) ListFailed() {
 	d.asked = false
-	d.host.After(sec/2+d.rng.Int63n(3*sec/2), d.watch)
+	pause := sec/2 + d.rng.Int63n(3*sec/2)
+	if d.notice.Agent {
+		pause = min(pause, d.notice.Grace/4)
+	}
+	d.host.After(pause, d.watch)
 }
 
 func (d *Driver) watch() {
