A socket that can't be asked is not quiet: the look at it stands in one piece again

TestWhatCannotBeAskedIsNotQuiet fails on the former text. The reader's flag for too much says what it is.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -148,8 +148,8 @@
 // space waits for room in the in ring, and gives nil when the connection has ended. Only the pump changes where
 // the ring's bytes lie, so that it may fill the space without the lock.
 func (c *Conn) space() []byte {
-	free, more := c.room()
-	if free == nil && more {
+	free, tooMuch := c.room()
+	if tooMuch {
 		c.Close(TooLong)
 	}
 	return free
@@ -271,26 +271,23 @@
 	return c.Idle() && c.nothingWaits() && c.Idle() // what the reader had taken by then is in the ring now
 }
 
-// nothingWaits tells whether the system holds nothing that came, be it the peer's end.
-func (c *Conn) nothingWaits() (nothing bool) {
-	nothing = true
-	c.control(func(fd int) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		nothing = errors.Is(err, syscall.EAGAIN)
-	})
-	return nothing
-}
-
-// control looks at the socket, if there is one.
-func (c *Conn) control(look func(fd int)) {
-	real, ok := c.nc.(syscall.Conn)
+// nothingWaits tells whether the system holds nothing that came, be it the peer's end. What can't be asked is taken for more.
+func (c *Conn) nothingWaits() bool {
+	socket, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return
+		return true // there is no system between
 	}
-	if raw, err := real.SyscallConn(); err == nil {
-		raw.Control(func(fd uintptr) { look(int(fd)) })
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
 	}
+	nothing := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		nothing = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && nothing
 }
 
 // Attend reads on from the peer while nobody takes what it sends, up to what spare allows, until the function it gives is
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -316,3 +316,11 @@
 	}
 	require.Eventually(t, func() bool { return left() == 6000 }, time.Second, time.Millisecond)
 }
+
+// Guards against a connection whose socket can't be asked being taken for one on which nothing waits.
+func TestWhatCannotBeAskedIsNotQuiet(t *testing.T) {
+	c, _, _ := pair(t, 1000)
+	require.True(t, c.nothingWaits())
+	c.Close(ShutDown)
+	require.False(t, c.nothingWaits())
+}
