Requests count from the arrival of their last byte, not from their turn

A query that stood behind others was given its whole time d when its turn came (session.query -> Router.Admit: deadline = now + Left), though its client counts from its sending. So it was still out, told to its member with too much time, when its client gave up and closed.

A connection notes when what it holds came (transport.arrivals, a mark a millisecond at the most); a message has the time of its last byte, a call that of its query, and the module what an RPC has waited: deadline, soft deadline, time told to members, and the moment at which one held in vain is pushed back count from it. One whose time is over is answered in its turn at once with no attempt. Time held by a cell's gate counts the same way.

--- a/internal/emulator/sockets/members.go
+++ b/internal/emulator/sockets/members.go
@@ -149,7 +149,7 @@
 	_, end := c.Welcome(protocol.CancelKey{}, func(protocol.CancelKey) {})
 	for end == transport.Open {
 		var text string
-		if text, end = c.Query(); end == transport.Open {
+		if text, _, end = c.Query(); end == transport.Open {
 			end = f.answer(c, m, text)
 		}
 	}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -22,7 +22,8 @@
 	from, end := c.Welcome(h.key, p.cancels.cancel)
 	for guest := false; end == transport.Open; {
 		var text string
-		if text, end = c.Query(); end != transport.Open {
+		var came time.Time
+		if text, came, end = c.Query(); end != transport.Open {
 			break
 		}
 		if end = c.End(); end != transport.Open { // it asked and went: nothing is begun for it
@@ -30,7 +31,7 @@
 		}
 		leave()
 		var trip *routing.Trip
-		trip, end = p.query(c, h, from, text)
+		trip, end = p.query(c, h, from, text, came)
 		if trip != nil {
 			guest = true
 			last := cell
@@ -70,14 +71,15 @@
 	behindShare = 16      // and all clients together, beyond their rings, this part of the memory
 )
 
-// query serves a client's query, and gives the trip of the RPC that it stood for, nil where none was taken.
-func (p *Program) query(c protocol.Client, h *held, from protocol.Origin, text string) (trip *routing.Trip, end transport.End) {
+// query serves a client's query, whose last byte came at a time, and gives the trip of the RPC that it stood for, nil where none was taken.
+func (p *Program) query(c protocol.Client, h *held, from protocol.Origin, text string, came time.Time) (trip *routing.Trip, end transport.End) {
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return nil, p.emptyQuery(c)
 	}
 	s, err := protocol.ParseStatement(text)
 	if err == nil {
 		asked := call(&s, from)
+		asked.Came = came
 		trip, err = p.router.Admit(&asked)
 	}
 	if err != nil {
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"strings"
+	"time"
 
 	"sedgespread/internal/transport"
 )
@@ -111,27 +112,28 @@
 	return c.ready()
 }
 
-// Query waits for the next query. Queries of the extended kind are answered with an error each.
-func (c Client) Query() (text string, end transport.End) {
+// Query waits for the next query, and tells when its last byte came: it may have stood behind others since. Queries of the
+// extended kind are answered with an error each.
+func (c Client) Query() (text string, came time.Time, end transport.End) {
 	for {
 		m, end := readMessage(c.Conn, mostStatement)
 		switch {
 		case end == transport.TooLong || end == transport.Malformed || end == transport.Stalled:
-			return "", c.reject(StateProtocol, "the message can't be followed", end)
+			return "", came, c.reject(StateProtocol, "the message can't be followed", end)
 		case end != transport.Open:
-			return "", end
+			return "", came, end
 		case m.kind == kindQuery:
 			if at := strings.IndexByte(m.body, 0); at < 0 || at != len(m.body)-1 {
-				return "", c.reject(StateProtocol, "the query is not one string", transport.Malformed)
+				return "", came, c.reject(StateProtocol, "the query is not one string", transport.Malformed)
 			}
-			return m.body[:len(m.body)-1], transport.Open
+			return m.body[:len(m.body)-1], m.came, transport.Open
 		case m.kind == kindTerminate:
-			return "", transport.ClosedByPeer
+			return "", came, transport.ClosedByPeer
 		case m.kind == kindSync || strings.IndexByte(kindsExtended, m.kind) < 0:
-			return "", c.reject(StateProtocol, "a message of this kind can't be followed here", transport.Malformed)
+			return "", came, c.reject(StateProtocol, "a message of this kind can't be followed here", transport.Malformed)
 		}
 		if end := c.skipExtended(m.kind); end != transport.Open {
-			return "", end
+			return "", came, end
 		}
 	}
 }
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 	"unsafe"
 
 	"sedgespread/internal/transport"
@@ -45,6 +46,7 @@
 	kind  byte
 	body  string
 	whole string
+	came  time.Time // its last byte
 }
 
 // readMessage waits for the next message, of most bytes at the most. Memory is taken as it comes, not as announced.
@@ -62,6 +64,7 @@
 		return message{}, transport.TooLong
 	}
 	total := int(length) + 1
+	var came time.Time
 	whole := make([]byte, 0, min(total, piece))
 	for len(whole) < total {
 		n := min(total-len(whole), piece)
@@ -69,10 +72,10 @@
 			return message{}, cutShort(end)
 		}
 		whole = slices.Grow(whole, n)[:len(whole)+n]
-		c.Read(whole[len(whole)-n:])
+		came = c.Read(whole[len(whole)-n:])
 	}
 	text := unsafe.String(&whole[0], len(whole)) // nobody writes to it from here on
-	return message{kind: head[0], body: text[headerBytes:], whole: text}, transport.Open
+	return message{kind: head[0], body: text[headerBytes:], whole: text, came: came}, transport.Open
 }
 
 // put writes a message whose body is the pieces one after another.
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -69,7 +69,7 @@
 		query := ""
 		_, end := client.Welcome(CancelKey{}, func(CancelKey) {})
 		if end == transport.Open {
-			query, end = client.Query()
+			query, _, end = client.Query()
 		}
 		require.Equal(t, c.end, end, "%q", c.text)
 		require.Equal(t, c.query, query)
@@ -198,7 +198,7 @@
 		conn, _ := feed(text)
 		client := Client{conn}
 		for _, end := client.Welcome(CancelKey{}, func(CancelKey) {}); end == transport.Open; {
-			_, end = client.Query()
+			_, _, end = client.Query()
 		}
 	})
 }
--- a/internal/routing/confine.go
+++ b/internal/routing/confine.go
@@ -42,7 +42,7 @@
 func (t *Trip) ask(rpc rules.RPC, c *Call) {
 	r, now := t.r, t.r.now()
 	m := &r.methods[rpc.Method]
-	a := cells.Ask{Tenant: r.gate.Tenant(c.Key, c.User, c.Base), Key: c.Key, Write: c.Write, Soft: m.SoftDeadline, Left: c.Left,
+	a := cells.Ask{Tenant: r.gate.Tenant(c.Key, c.User, c.Base), Key: c.Key, Write: c.Write, Soft: m.SoftDeadline, Left: max(0, rpc.Left),
 		Utility: m.Utility}
 	t.pass = &pass{effect: effectOf(m)}
 	if !t.begins() {
@@ -50,9 +50,9 @@
 		t.pushesBack()
 		return
 	}
-	left := c.Left
 	ticket, v, decided := r.gate.Admit(now, a, func(v cells.Verdict) {
-		rpc.Left = max(0, left-(r.now()-now))
+		held := r.now() - now
+		rpc.Left, rpc.Waited = rpc.Left-held, rpc.Waited+held
 		t.decided(rpc, v)
 	})
 	t.pass.ticket = ticket
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -43,6 +43,7 @@
 	Repeat bool          // the client has tried before
 	Group  rules.GroupID // that its client named; where tenants have cells the cell decides
 	Left   int64         // its client waits so long
+	Came   time.Time     // and counts from then; zero for now
 	Token  int64         // position that the read must see, 0 for none
 	User   string        // as whom its client came, and for which database
 	Base   string
@@ -84,13 +85,17 @@
 		return nil, errMethod
 	}
 	method := &r.methods[number]
-	rpc := rules.RPC{Method: number, Group: c.Group, Session: c.Key, Left: c.Left, Repeat: c.Repeat, Token: c.Token}
 	switch {
 	case c.Write != (method.Need == rules.NeedPrimary):
 		return nil, errKind
-	case rpc.Left > longestLeft(method):
+	case c.Left > longestLeft(method):
 		return nil, errLeft
 	}
+	rpc := rules.RPC{Method: number, Group: c.Group, Session: c.Key, Left: c.Left, Repeat: c.Repeat, Token: c.Token}
+	if !c.Came.IsZero() {
+		rpc.Waited = max(0, r.now()-r.at(c.Came))
+		rpc.Left -= rpc.Waited
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := strings.Clone(c.ID) // which outlives what it came in
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	moved   *sync.Cond // the in ring or the end has changed
 	in      Ring
+	taken   int64                                 // bytes that were read and taken, or thrown away
+	came    arrivals                              // of those that are held
 	wanted  int                                   // bytes that the reading goroutine waits for
 	parting End                                   // asked to end between messages
 	parted  bool                                  // and nothing came before reading stopped
@@ -94,8 +96,10 @@
 			return
 		}
 		n, err := c.nc.Read(space)
+		at := time.Now()
 		c.mu.Lock()
 		c.in.used += n
+		c.came.note(c.taken+int64(c.in.used), at)
 		if n > 0 && c.hurry > 0 {
 			c.stalled.Reset(c.hurry)
 		}
@@ -209,7 +213,7 @@
 // waste throws away what came while that is wanted. The lock is held.
 func (c *Conn) waste() {
 	n := min(c.in.Len(), c.wasting)
-	c.in.discard(n)
+	c.take(n)
 	c.wasting -= n
 }
 
@@ -243,13 +247,22 @@
 	c.mu.Unlock()
 }
 
-// Read takes the next bytes. They must have been awaited.
-func (c *Conn) Read(into []byte) {
+// Read takes the next bytes, of which there must be some, and tells when the last of them came. They must have been awaited.
+func (c *Conn) Read(into []byte) (came time.Time) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.in.peek(into)
-	c.in.discard(len(into))
+	came = c.came.of(c.taken + int64(len(into)))
+	c.take(len(into))
 	c.moved.Broadcast()
-	c.mu.Unlock()
+	return came
+}
+
+// take takes the next bytes. The lock is held.
+func (c *Conn) take(n int) {
+	c.in.discard(n)
+	c.taken += int64(n)
+	c.came.forget(c.taken)
 }
 
 // Buffered is the number of bytes that can be read without waiting.
@@ -318,6 +331,7 @@
 	gone, keep := c.heard(c.held)
 	if keep >= 0 {
 		c.in.used = min(c.in.used, keep)
+		c.came.cut(c.taken + int64(c.in.used))
 	}
 	return gone
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -102,7 +102,8 @@
 	Method  MethodID
 	Group   GroupID
 	Session string
-	Left    int64
+	Left    int64 // its client still waits so long
+	Waited  int64 // and has waited so long before it was taken
 	Repeat  bool  // the client has tried before
 	Token   int64 // commit that a session read must see, 0 for none
 	Floor   int64 // position that any member must have reached to get it, 0 for none
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -510,13 +510,13 @@
 		d.host.PushBack(rpc.ID, d.allowed.ComeBack)
 		return
 	}
-	c := &call{RPC: rpc, method: method, group: g, deadline: now + rpc.Left, soft: now + method.SoftDeadline,
-		looked: nobody, lot: d.rng.Float64()}
+	c := &call{RPC: rpc, method: method, group: g, deadline: now + rpc.Left,
+		soft: now + method.SoftDeadline - rpc.Waited, looked: nobody, lot: d.rng.Float64()}
 	if method.Need == NeedSession && !d.store.Carried {
 		c.Token = max(d.tokens[rpc.Session], d.older[rpc.Session])
 	}
 	if rpc.Repeat { // its client counts from its first try, and has Left of the whole time now
-		c.soft -= max(0, method.Deadline-rpc.Left)
+		c.soft -= max(0, method.Deadline-rpc.Left-rpc.Waited)
 	}
 	d.calls[rpc.ID] = c
 	if c.last() < now+int64(g.took/2) { // no answer could still be of use: guards against storms of repeats
@@ -550,7 +550,7 @@
 	now := d.host.Now()
 	left := c.last() - int64(c.group.took) - now
 	if !c.reached {
-		left = min(left, c.deadline-int64((1-unreached)*float64(c.Left))-now)
+		left = min(left, c.deadline-int64((1-unreached)*float64(c.Left+c.Waited))-now)
 	}
 	switch {
 	case c.ended || !c.held:
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -306,6 +306,8 @@
 		switch name {
 		case "left":
 			r.Left = p.span(value)
+		case "waited":
+			r.Waited = p.span(value)
 		case "session":
 			r.Session = value
 		case "repeat":
