Discovery's late answers count, and drivers coming back ask for what is new, once at a time

Discovery handles calls in turn there, some 12 a second, and lets each wait for 2 s at the most; the driver gave up after 2 s as well. An answer written as the call is closed counts as told.

A call that is overdue is reported as failed as before, but stays out until the module wants another, so that its answer still counts. Who holds a list asks for what is newer (index and wait=0), at a new address too: discovery is one service. After silence or an older generation the whole list is asked for, as before. ListFailed keeps to one pause.

TestResetIsNoEnd wanted the whole list asked for after a reset; it wants now that the generation held before it is named, which says as well that nothing of the reset answer was taken.

--- a/internal/program/follow.go
+++ b/internal/program/follow.go
@@ -33,15 +33,22 @@
 //
 //	state     what happens                            and then
 //	resting   nobody asks                             the module wants the list, or the address changes: asking
-//	asking    a call for the whole list is out        answered: watching; failed: resting, and the module hears of it
+//	asking    a call is out for the whole list, or    answered: watching; failed: resting, and the module hears of it;
+//	          for what is newer than the one held     answerWithin is over: overdue
+//	overdue   the same, and the module has heard      answered: watching; failed: resting; the module wants the list: asking
+//	          that it failed                          for all of it, and the call is given up only then: its answer may come
 //	watching  a call waits for what is newer than     answered: watching; late: asking, at once and on a new connection;
-//	          the list that is held                   broken, or nonsense: resting; older than the list: asking
+//	          the list that is held                   broken, or nonsense: resting; older than the list: asking for all of it
 //	moved     the address has changed meanwhile       asking at the new one; what still comes from the old changes nothing
 type source struct {
 	mu      sync.Mutex
 	address string
 	leave   context.CancelCauseFunc // of the one that asks, nil for none
-	rng     *rand.Rand              // of whoever asks
+	asking  bool
+	overdue bool
+	listed  bool       // a list from this address is held
+	held    int64      // and its generation
+	rng     *rand.Rand // of whoever asks
 }
 
 // wait is how long the next call of a watch waits.
@@ -51,19 +58,60 @@
 }
 
 // accept takes in an answer, unless the address has changed since it was asked for: the list is another's by then.
-func (s *source) accept(stay context.Context, take func()) {
+func (s *source) accept(stay context.Context, t protocol.Targets, take func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stay.Err() == nil {
+		s.listed, s.held, s.overdue = true, t.Generation, false
 		take()
 	}
 }
 
+// holds is the generation of the list that is held, if there is one from this address.
+func (s *source) holds() (generation int64, listed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held, s.listed
+}
+
+// disown makes the whole list be asked for next.
+func (s *source) disown() {
+	s.mu.Lock()
+	s.listed = false
+	s.mu.Unlock()
+}
+
+// asks notes that a call that does not wait is out; the function that it gives, that it no longer is.
+func (s *source) asks() (ended func()) {
+	s.mu.Lock()
+	s.asking = true
+	s.mu.Unlock()
+	return func() {
+		s.mu.Lock()
+		s.asking = false
+		s.mu.Unlock()
+	}
+}
+
+// late notes that the call that is out has taken too long, and tells whether one is. The next asks for the whole list.
+func (s *source) late(stay context.Context) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.asking || stay.Err() != nil {
+		return false
+	}
+	s.overdue, s.listed = true, false
+	return true
+}
+
 // enter gives whoever will ask the address and a context that ends once that has changed; ok is false while
-// somebody else asks.
+// somebody else asks. A call that is overdue is given up: whoever made it asks again.
 func (s *source) enter(ctx context.Context) (stay context.Context, address string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leave != nil && s.overdue {
+		s.leave(transport.TimedOut)
+	}
 	if s.leave != nil {
 		return nil, "", false
 	}
@@ -71,14 +119,15 @@
 	return stay, s.address, true
 }
 
-// exit ends the asking, and tells whether that was because the address has changed.
-func (s *source) exit(stay context.Context) (moved bool) {
+// exit ends the asking, and tells whether that was because it is to be begun anew, since the address has changed or an overdue
+// call was given up, and else whether the module has heard that it failed.
+func (s *source) exit(stay context.Context) (anew, told bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	moved = stay.Err() != nil
+	anew, told = stay.Err() != nil, s.overdue
 	s.leave(transport.Cancelled)
-	s.leave = nil
-	return moved
+	s.leave, s.overdue = nil, false
+	return anew, told
 }
 
 // move changes the address. What is asked at the old one is left at once; moved and idle tells that nobody asks now.
@@ -104,50 +153,75 @@
 			return
 		}
 		err := p.watch(stay, address)
-		moved := p.source.exit(stay)
-		if ctx.Err() != nil {
-			return
+		anew, told := p.source.exit(stay)
+		if !anew && !told {
+			p.unasked(err)
 		}
-		if !moved {
-			p.ready.listed(p.router, protocol.Targets{})
-			p.log.WithError(err).Warn("discovery broke off")
-			p.router.ReportNoList()
+		if !anew || ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// unasked reports that discovery did not answer.
+func (p *Program) unasked(err error) {
+	p.ready.listed(p.router, protocol.Targets{})
+	p.log.WithError(err).Warn("discovery broke off")
+	p.router.ReportNoList()
+}
+
 // watch reports the list and its changes until a call fails or the context ends. A watch that has fallen silent, or tells
 // what is older than the list, is given up for the whole list.
 func (p *Program) watch(ctx context.Context, address string) error {
 	d := protocol.NewDiscovery(p.descriptors, address)
 	defer d.Close(transport.ShutDown)
-	t, err := p.askWhole(ctx, d)
-	for err == nil && ctx.Err() == nil {
-		p.source.accept(ctx, func() {
-			p.router.ReportList(t)
-			p.ready.listed(p.router, t)
-		})
-		held := t.Generation
-		t, err = p.askSince(ctx, d, held)
+	for ask := p.askNow; ; {
+		t, err := ask(ctx, d)
+		if ctx.Err() != nil {
+			return err
+		}
+		held, listed := p.source.holds()
 		silent := errors.Is(err, transport.TimedOut)
-		if ctx.Err() == nil && (silent || err == nil && !t.Whole && t.Generation < held) {
+		switch {
+		case silent || err == nil && listed && !t.Whole && t.Generation < held:
 			p.log.WithField("silent", silent).Info("the whole list is asked for")
-			t, err = p.askWhole(ctx, d)
+			p.source.disown()
+			ask = p.askNow
+		case err != nil:
+			return err
+		default:
+			p.source.accept(ctx, t, func() {
+				p.router.ReportList(t)
+				p.ready.listed(p.router, t)
+			})
+			ask = p.askSince
 		}
 	}
-	return err
 }
 
-func (p *Program) askWhole(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
-	by, stop := context.WithTimeoutCause(ctx, p.posting.AnswerWithin, transport.TimedOut)
-	defer stop()
-	return d.Whole(ctx, by)
+// askNow asks for what is newer than the list that is held, which is less for discovery to tell when many drivers come back to
+// it at once, or for all of it where there is none. That takes no longer than the
+// context lasts: after AnswerWithin the module hears that it failed, and the call is given up once it wants another. It guards
+// against answers that are written as they are given up, time after time, where discovery has many to answer in turn.
+func (p *Program) askNow(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
+	defer p.source.asks()()
+	late := time.AfterFunc(p.posting.AnswerWithin, func() {
+		if p.source.late(ctx) {
+			p.unasked(transport.TimedOut)
+		}
+	})
+	defer late.Stop()
+	if held, listed := p.source.holds(); listed {
+		return d.Since(ctx, ctx, held, 0)
+	}
+	return d.Whole(ctx, ctx)
 }
 
-func (p *Program) askSince(ctx context.Context, d *protocol.Discovery, generation int64) (protocol.Targets, error) {
+// askSince waits for what is newer than the list that is held.
+func (p *Program) askSince(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
 	wait := p.source.wait(p.posting.WatchFor)
 	by, stop := context.WithTimeoutCause(ctx, wait+lateBy, transport.TimedOut)
 	defer stop()
-	return d.Since(ctx, by, generation, wait.Milliseconds())
+	held, _ := p.source.holds()
+	return d.Since(ctx, by, held, wait.Milliseconds())
 }
--- a/internal/program/follow_test.go
+++ b/internal/program/follow_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sedgespread/internal/protocol"
 	"sedgespread/internal/transport"
 )
 
@@ -18,18 +19,22 @@
 	require.True(t, ok)
 	require.Equal(t, "old", address)
 	taken := 0
-	s.accept(stay, func() { taken++ })
+	s.accept(stay, protocol.Targets{Generation: 7}, func() { taken++ })
 	require.Equal(t, 1, taken)
 	require.False(t, s.move("new"), "somebody asks")
-	s.accept(stay, func() { taken++ })
+	s.accept(stay, protocol.Targets{Generation: 7}, func() { taken++ })
 	require.Equal(t, 1, taken, "the answer came, and is another's list by now")
-	require.True(t, s.exit(stay))
+	anew, told := s.exit(stay)
+	require.True(t, anew)
+	require.False(t, told)
+	_, listed := s.holds()
+	require.True(t, listed, "discovery is one service, wherever it is asked")
 	stay, address, ok = s.enter(context.Background())
 	require.True(t, ok)
 	require.Equal(t, "new", address)
 	_, _, ok = s.enter(context.Background())
 	require.False(t, ok, "one asks at a time")
-	s.accept(stay, func() { taken++ })
+	s.accept(stay, protocol.Targets{Generation: 7}, func() { taken++ })
 	require.Equal(t, 2, taken)
 	require.Equal(t, transport.Open, transport.EndOf(stay))
 }
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -198,7 +198,7 @@
 		require.Equal(t, "from p", c.ask(t, statement("write", 1000)))
 		return len(s.asked()) >= 3
 	})
-	require.Equal(t, "/api/targets", s.asked()[2])
+	require.Equal(t, "/api/targets?index=1&wait=0", s.asked()[2], "nothing of what was reset is held")
 }
 
 // Guards against drains learned too late that begin as discovery comes back: it was down, with watches reset, and then turned
@@ -294,3 +294,60 @@
 		require.Less(t, time.Since(returned), grace)
 	}
 }
+
+// Guards against answers that come as they are given up, time after time, where discovery has many to answer in turn: each
+// takes a little longer than a call may before another is made.
+func TestAnswersAsTheyAreGivenUp(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	var asked atomic.Int64
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, c net.Conn) string {
+		switch {
+		case call == 1:
+			return whole(entry(1, true, primary, "SERVING"))
+		case call == 2:
+			c.Close()
+			return ""
+		case strings.HasSuffix(path, "wait=0") || !strings.Contains(path, "index"):
+			asked.Add(1)
+			time.Sleep(2200 * time.Millisecond)
+		}
+		return whole(entry(2, true, primary, "DRAINING"))
+	})
+	v := s.told(t, nil)
+	c := v.client(t)
+	eventually(t, "the watch breaks off", func() bool { return len(s.asked()) >= 2 })
+	drained(t, c, time.Now())
+	require.EqualValues(t, 1, asked.Load(), "it is asked once, and heard")
+}
+
+// Guards against whole lists asked for by all drivers at once as discovery comes back: whoever holds a list asks for what is
+// new. One that gets no answer to that asks for all of it, and so does one whose discovery has moved.
+func TestWhatIsNewIsAskedFor(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, c net.Conn) string {
+		switch call {
+		case 1:
+			return whole(entry(7, true, primary, "SERVING"))
+		case 2:
+			return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		case 3:
+			return whole(`{"generation":7,"reset":false,"instances":[]}`)
+		case 4:
+			c.Close()
+			return ""
+		case 5:
+			return ""
+		}
+		return whole(entry(8, true, primary, "DRAINING"))
+	})
+	v := s.told(t, nil)
+	eventually(t, "it is turned away", func() bool { return len(s.asked()) >= 5 })
+	drained(t, v.client(t), time.Now())
+	paths := s.asked()
+	require.Equal(t, "/api/targets", paths[0])
+	require.Contains(t, paths[1], "index=7&wait=")
+	require.Equal(t, "/api/targets?index=7&wait=0", paths[2])
+	require.Contains(t, paths[3], "index=7&wait=")
+	require.Equal(t, "/api/targets?index=7&wait=0", paths[4])
+	require.Equal(t, "/api/targets", paths[5], "after silence")
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -118,13 +118,20 @@
 
 // ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again. An
 // agent has no other callers, and what it has when it is back counts at once: it is asked within the grace.
+// One pause at a time, lest calls that fail while another is awaited multiply.
 func (d *Driver) ListFailed() {
-	d.asked = false
+	if d.asked = false; d.pausing {
+		return
+	}
+	d.pausing = true
 	pause := sec/2 + d.rng.Int63n(3*sec/2)
 	if d.notice.Agent {
 		pause = min(pause, d.notice.Grace/4)
 	}
-	d.host.After(pause, d.watch)
+	d.host.After(pause, func() {
+		d.pausing = false
+		d.watch()
+	})
 }
 
 func (d *Driver) watch() {
--- a/rules/state.go
+++ b/rules/state.go
@@ -14,6 +14,7 @@
 type roster struct {
 	notice  Notice
 	asked   bool
+	pausing bool // before it is asked for again
 	ids     []MemberID
 	of      []*group
 	zone    []string
