An overdue call's answer that is older than the list is no news either

Read again: a call that is overdue made the next one ask for the whole list (listed = false), and that flag also decided whether an answer older than the list held was passed over (follow.go, watch). So an answer of an older generation that came after 2 s was applied. Whether an answer was to be all of the list goes with the call. An answer to a call for all is taken as it is, so that nothing is asked for again without a pause. TestOlderAndOverdue fails without it: index=5 is asked for next in place of the whole list.

--- a/internal/program/follow.go
+++ b/internal/program/follow.go
@@ -46,7 +46,7 @@
 	leave   context.CancelCauseFunc // of the one that asks, nil for none
 	asking  bool
 	overdue bool
-	listed  bool       // a list from this address is held
+	listed  bool       // a list is held that what is newer may be asked for
 	held    int64      // and its generation
 	rng     *rand.Rand // of whoever asks
 }
@@ -67,7 +67,7 @@
 	}
 }
 
-// holds is the generation of the list that is held, if there is one from this address.
+// holds is the generation of the list that is held, and whether what is newer may be asked for.
 func (s *source) holds() (generation int64, listed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,14 +176,14 @@
 	d := protocol.NewDiscovery(p.descriptors, address)
 	defer d.Close(transport.ShutDown)
 	for ask := p.askNow; ; {
-		t, err := ask(ctx, d)
+		t, all, err := ask(ctx, d)
 		if ctx.Err() != nil {
 			return err
 		}
-		held, listed := p.source.holds()
+		held, _ := p.source.holds()
 		silent := errors.Is(err, transport.TimedOut)
 		switch {
-		case silent || err == nil && listed && !t.Whole && t.Generation < held:
+		case silent || err == nil && !all && !t.Whole && t.Generation < held:
 			p.log.WithField("silent", silent).Info("the whole list is asked for")
 			p.source.disown()
 			ask = p.askNow
@@ -200,10 +200,10 @@
 }
 
 // askNow asks for what is newer than the list that is held, which is less for discovery to tell when many drivers come back to
-// it at once, or for all of it where there is none. That takes no longer than the
+// it at once, or for all of it where there is none, and tells which. That takes no longer than the
 // context lasts: after AnswerWithin the module hears that it failed, and the call is given up once it wants another. It guards
 // against answers that are written as they are given up, time after time, where discovery has many to answer in turn.
-func (p *Program) askNow(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
+func (p *Program) askNow(ctx context.Context, d *protocol.Discovery) (t protocol.Targets, all bool, err error) {
 	defer p.source.asks()()
 	late := time.AfterFunc(p.posting.AnswerWithin, func() {
 		if p.source.late(ctx) {
@@ -212,16 +212,19 @@
 	})
 	defer late.Stop()
 	if held, listed := p.source.holds(); listed {
-		return d.Since(ctx, ctx, held, 0)
+		t, err = d.Since(ctx, ctx, held, 0)
+		return t, false, err
 	}
-	return d.Whole(ctx, ctx)
+	t, err = d.Whole(ctx, ctx)
+	return t, true, err
 }
 
 // askSince waits for what is newer than the list that is held.
-func (p *Program) askSince(ctx context.Context, d *protocol.Discovery) (protocol.Targets, error) {
+func (p *Program) askSince(ctx context.Context, d *protocol.Discovery) (t protocol.Targets, all bool, err error) {
 	wait := p.source.wait(p.posting.WatchFor)
 	by, stop := context.WithTimeoutCause(ctx, wait+lateBy, transport.TimedOut)
 	defer stop()
 	held, _ := p.source.holds()
-	return d.Since(ctx, by, held, wait.Milliseconds())
+	t, err = d.Since(ctx, by, held, wait.Milliseconds())
+	return t, false, err
 }
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -351,3 +351,33 @@
 	require.Equal(t, "/api/targets?index=7&wait=0", paths[4])
 	require.Equal(t, "/api/targets", paths[5], "after silence")
 }
+
+// Guards against what is older than the list and comes so late that the call was overdue: it is no news either.
+func TestOlderAndOverdue(t *testing.T) {
+	primary := newMember(t, "p", "leader")
+	answered := make(chan struct{})
+	s := newScripted(t, newDiscovery(t, primary), func(call int, path string, c net.Conn) string {
+		switch call {
+		case 1:
+			return whole(entry(7, true, primary, "SERVING"))
+		case 2:
+			c.Close()
+			return ""
+		case 3:
+			defer close(answered)
+			time.Sleep(2200 * time.Millisecond)
+			return whole(entry(5, false, primary, "DRAINING"))
+		}
+		return whole(entry(8, true, primary, "SERVING"))
+	})
+	v := s.told(t, nil)
+	<-answered
+	c := v.client(t)
+	eventually(t, "the whole list is asked for", func() bool {
+		require.Equal(t, "from p", c.ask(t, statement("write", 300)))
+		return len(s.asked()) >= 4
+	})
+	require.Equal(t, "/api/targets?index=7&wait=0", s.asked()[2])
+	require.Equal(t, "/api/targets", s.asked()[3])
+	require.Equal(t, "from p", c.ask(t, statement("write", 300)))
+}
