Messages with nothing in them are neither sent nor taken for malformed

News of positions over 30 s old can't be told (protocol.AppendNews leaves them out), so where replicas lag that far a message could have nothing in it; the wire writes no bytes as "-", which simwire took for base64. On sockets an empty datagram went out, which fellows logged as no driver's. Tell sends nothing then (routing, simwire), and "-" is no bytes.

--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -48,8 +48,11 @@
 
 func (h *host) Watch() { h.add(Follow{}) }
 
+// Tell passes news on, but for those that can't be told, of positions from long ago. It guards against messages that say nothing.
 func (h *host) Tell(news []rules.News) {
-	h.add(Spread{Message: briefing.Message(news, h.registry.key, 0, h.Now())})
+	if message := briefing.Message(news, h.registry.key, 0, h.Now()); len(message) > 0 {
+		h.add(Spread{Message: message})
+	}
 }
 
 func (h *host) Log(line string) { h.log.Info(line) }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -219,6 +219,21 @@
 	require.False(t, other.ReportNews([]byte("\xff")))
 }
 
+// Guards against datagrams that say nothing: a position over 30 s old can't be told.
+func TestNothingToTell(t *testing.T) {
+	r := begin(t, "a")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := len(r.duties)
+	tell := func(age time.Duration) {
+		(*host)(r).Tell([]rules.News{{Member: 1, Sighting: rules.Sighting{Role: rules.RoleReplica, Position: r.now() - int64(age)}}})
+	}
+	tell(40 * time.Second)
+	require.Len(t, r.duties, before)
+	tell(time.Second)
+	require.Len(t, r.duties, before+1)
+}
+
 // Guards against a member that turns a session away, on no connection at all, and is taken for one that ran all along.
 func TestNoConnectionIsNoOldOne(t *testing.T) {
 	r := begin(t, "a")
--- a/internal/simwire/news.go
+++ b/internal/simwire/news.go
@@ -7,15 +7,25 @@
 	"sedgespread/rules"
 )
 
-// Tell sends the news to all fellow drivers.
+// Tell sends the news to all fellow drivers, if there are any that can be told.
 func (d *driver) Tell(news []rules.News) {
 	message := briefing.Message(news, func(m rules.MemberID) uint32 { return uint32(m) }, d.epoch, d.w.now)
+	if len(message) == 0 {
+		return
+	}
 	d.begin("SIGNAL").words("addressee", "all").words("content", base64.StdEncoding.EncodeToString(message)).send()
 }
 
+// nothing stands on the wire for no bytes.
+const nothing = "-"
+
 // whisper reads what a fellow driver told. A message that is not of our making is passed over.
 func (d *driver) whisper(f *briefing.Parts) {
-	message, err := base64.StdEncoding.DecodeString(f.Text("content"))
+	content := f.Text("content")
+	if content == nothing {
+		content = ""
+	}
+	message, err := base64.StdEncoding.DecodeString(content)
 	if err != nil {
 		f.Wrong("content is not base64")
 	}
