--- a/internal/program/fellows_test.go
+++ b/internal/program/fellows_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"hash/fnv"
 	"net"
 	"strings"
@@ -75,15 +74,14 @@
 func TestReadyThoughAMemberDrains(t *testing.T) {
 	primary, replica := newMember(t, "p", "leader"), newMember(t, "r", "follower")
 	s := newScripted(t, newDiscovery(t, primary, replica), func(call int, path string, _ net.Conn) string {
-		list := fmt.Sprintf(`{"generation":1,"reset":true,"instances":[%s,%s]}`, line(primary, "SERVING"), line(replica, "SERVING"))
 		switch {
 		case call == 2:
-			list = fmt.Sprintf(`{"generation":2,"reset":false,"instances":[%s]}`, line(replica, "DRAINING"))
+			return whole(entry(2, false, replica, "DRAINING"))
 		case strings.Contains(path, "index"):
 			time.Sleep(time.Second)
-			list = `{"generation":2,"reset":false,"instances":[]}`
+			return whole(listing(2, false))
 		}
-		return whole(list)
+		return whole(listing(1, true, line(primary, "SERVING"), line(replica, "SERVING")))
 	})
 	begun := time.Now()
 	change, _ := peered(t, 300) // whose first looks are spread over 2.4 s
@@ -92,8 +90,3 @@
 	_, looks := replica.counts()
 	require.Zero(t, looks, "it drained before it was looked at")
 }
-
-// line is a member's line in a list.
-func line(m *member, state string) string {
-	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","cell":1,"lifecycle":%q,"weight":1,"startedAtMs":0}`, m.name, m.listen.Addr(), state)
-}
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -75,8 +75,17 @@
 
 // entry is a list, or a change of it, with one member.
 func entry(generation int, all bool, m *member, state string) string {
-	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[{"instanceId":%q,"hostPort":%q,"zone":"z","cell":1,"lifecycle":%q,"weight":1,"startedAtMs":0}]}`,
-		generation, all, m.name, m.listen.Addr(), state)
+	return listing(generation, all, line(m, state))
+}
+
+// listing is a list, or a change of it, with some lines.
+func listing(generation int, all bool, lines ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, generation, all, strings.Join(lines, ","))
+}
+
+// line is a member's line in a list.
+func line(m *member, state string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","cell":1,"lifecycle":%q,"weight":1,"startedAtMs":0}`, m.name, m.listen.Addr(), state)
 }
 
 // drained tells how long it takes until a member that drains gets no writes any more.
@@ -331,7 +340,7 @@
 		case 2:
 			return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 		case 3:
-			return whole(`{"generation":7,"reset":false,"instances":[]}`)
+			return whole(listing(7, false))
 		case 4:
 			c.Close()
 			return ""
