Simpler as it stands: calls end by their context, first looks on their own, arrivals noted where bytes came

Read again, without a change of behaviour: - source.asking and asks() said whether a call is out; the call's context says so now (follow.go). - listed set the pace of first looks in the condition of an if that was about something else; firstLook has it.

--- a/internal/program/follow.go
+++ b/internal/program/follow.go
@@ -44,7 +44,6 @@
 	mu      sync.Mutex
 	address string
 	leave   context.CancelCauseFunc // of the one that asks, nil for none
-	asking  bool
 	overdue bool
 	listed  bool       // a list is held that what is newer may be asked for
 	held    int64      // and its generation
@@ -81,23 +80,11 @@
 	s.mu.Unlock()
 }
 
-// asks notes that a call that does not wait is out; the function that it gives, that it no longer is.
-func (s *source) asks() (ended func()) {
-	s.mu.Lock()
-	s.asking = true
-	s.mu.Unlock()
-	return func() {
-		s.mu.Lock()
-		s.asking = false
-		s.mu.Unlock()
-	}
-}
-
-// late notes that the call that is out has taken too long, and tells whether one is. The next asks for the whole list.
-func (s *source) late(stay context.Context) bool {
+// late notes that a call has taken too long, and tells whether it is still out. The next asks for the whole list.
+func (s *source) late(call context.Context) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.asking || stay.Err() != nil {
+	if call.Err() != nil {
 		return false
 	}
 	s.overdue, s.listed = true, false
@@ -200,17 +187,18 @@
 }
 
 // askNow asks for what is newer than the list that is held, which is less for discovery to tell when many drivers come back to
-// it at once, or for all of it where there is none, and tells which. That takes no longer than the
-// context lasts: after AnswerWithin the module hears that it failed, and the call is given up once it wants another. It guards
-// against answers that are written as they are given up, time after time, where discovery has many to answer in turn.
+// it at once, or for all of it where there is none, and tells which. That takes no longer than the context lasts: after
+// AnswerWithin the module hears that it failed, and the call is given up once it wants another. It guards against answers that are
+// written as they are given up, time after time, where discovery has many to answer in turn.
 func (p *Program) askNow(ctx context.Context, d *protocol.Discovery) (t protocol.Targets, all bool, err error) {
-	defer p.source.asks()()
+	call, ended := context.WithCancel(ctx)
 	late := time.AfterFunc(p.posting.AnswerWithin, func() {
-		if p.source.late(ctx) {
+		if p.source.late(call) {
 			p.unasked(transport.TimedOut)
 		}
 	})
 	defer late.Stop()
+	defer ended()
 	if held, listed := p.source.holds(); listed {
 		t, err = d.Since(ctx, ctx, held, 0)
 		return t, false, err
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -71,15 +71,16 @@
 	behindShare = 16      // and all clients together, beyond their rings, this part of the memory
 )
 
-// query serves a client's query, whose last byte came at a time, and gives the trip of the RPC that it stood for, nil where none was taken.
-func (p *Program) query(c protocol.Client, h *held, from protocol.Origin, text string, came time.Time) (trip *routing.Trip, end transport.End) {
+// query serves a client's query, whose last byte came at a time, and gives the trip of the RPC that it stood for, nil where none
+// was taken.
+func (p *Program) query(c protocol.Client, h *held, from protocol.Origin, text string,
+	came time.Time) (trip *routing.Trip, end transport.End) {
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return nil, p.emptyQuery(c)
 	}
 	s, err := protocol.ParseStatement(text)
 	if err == nil {
-		asked := call(&s, from)
-		asked.Came = came
+		asked := call(&s, from, came)
 		trip, err = p.router.Admit(&asked)
 	}
 	if err != nil {
@@ -88,11 +89,11 @@
 	return trip, p.rpc(c, h, &s, trip)
 }
 
-// call is the RPC that a statement stands for.
-func call(s *protocol.Statement, from protocol.Origin) routing.Call {
+// call is the RPC that a statement stands for which came at a time.
+func call(s *protocol.Statement, from protocol.Origin, came time.Time) routing.Call {
 	const milli = int64(time.Millisecond)
 	return routing.Call{ID: s.ID, Method: s.Method, Key: s.Key, Write: s.Write, Repeat: s.Repeat, Group: rules.GroupID(s.Group),
-		Left: s.Left * milli, Token: s.After * milli, User: from.User, Base: from.Database}
+		Left: s.Left * milli, Came: came, Token: s.After * milli, User: from.User, Base: from.Database}
 }
 
 // emptyQuery is answered once this driver is ready.
--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -30,7 +31,7 @@
 
 // of is when the byte of a number came, which must be held.
 func (a arrivals) of(number int64) time.Time {
-	i, _ := slices.BinarySearchFunc(a, number, func(x arrival, n int64) int { return int(min(1, max(-1, x.upTo-n))) })
+	i, _ := slices.BinarySearchFunc(a, number, func(x arrival, n int64) int { return cmp.Compare(x.upTo, n) })
 	return a[i].at
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -98,10 +98,8 @@
 		n, err := c.nc.Read(space)
 		at := time.Now()
 		c.mu.Lock()
-		c.in.used += n
-		c.came.note(c.taken+int64(c.in.used), at)
-		if n > 0 && c.hurry > 0 {
-			c.stalled.Reset(c.hurry)
+		if n > 0 {
+			c.arrived(n, at)
 		}
 		parted := c.part(err)
 		gone := n > 0 && c.listen()
@@ -122,6 +120,15 @@
 	}
 }
 
+// arrived takes in that so many bytes came. The lock is held.
+func (c *Conn) arrived(n int, at time.Time) {
+	c.in.used += n
+	c.came.note(c.taken+int64(c.in.used), at)
+	if c.hurry > 0 {
+		c.stalled.Reset(c.hurry)
+	}
+}
+
 // part settles a parting once reading was interrupted: what came first calls it off, also what waits unread, unless this
 // side shuts down: then nothing more is read that would have to be answered. The lock is held.
 func (c *Conn) part(err error) bool {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -108,25 +108,34 @@
 	}
 	if s == Healthy && !d.kept[m] {
 		d.keep(m)
-		now := d.host.Now()
-		if d.looking = max(now-hush, d.looking+lookApart); d.allowed.Probes && d.crew.News == 0 {
-			if d.looking <= now {
-				d.probeLoop(m)
-			} else { // more at once could be more than connections: those kept waiting would seem silent
-				d.host.After(d.looking-now, func() { d.probeLoop(m) })
-			}
-		} else if d.allowed.Probes { // the first to look tells the others
-			apart := fewOrMany(d, ms, newcomers)
-			d.host.After(d.rng.Int63n(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
+		if d.allowed.Probes {
+			d.firstLook(m)
 		}
 	}
 }
 
+// firstLook begins to probe a new member: the first driver to look tells the others. Where drivers tell
+// nothing each looks at once, but not at more than it may have connections: who is kept waiting seems silent.
+func (d *Driver) firstLook(m member) {
+	if d.crew.News > 0 {
+		apart := fewOrMany(d, ms, newcomers)
+		d.host.After(d.rng.Int63n(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
+		return
+	}
+	now := d.host.Now()
+	if d.looking = max(now-hush, d.looking+lookApart); d.looking > now {
+		d.host.After(d.looking-now, func() { d.probeLoop(m) })
+		return
+	}
+	d.probeLoop(m)
+}
+
 // ListFailed hears that asking for the list failed, or that the watch broke off: it is asked for again. An
 // agent has no other callers, and what it has when it is back counts at once: it is asked within the grace.
 // One pause at a time, lest calls that fail while another is awaited multiply.
 func (d *Driver) ListFailed() {
-	if d.asked = false; d.pausing {
+	d.asked = false
+	if d.pausing {
 		return
 	}
 	d.pausing = true
@@ -296,15 +305,15 @@
 	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
 		return
 	}
+	g := d.of[m]
 	if s.Position != 0 {
 		age := now - d.learned[m]
 		if s.Role != d.role[m] || age >= 2*d.due || age >= d.interval && s.Role == RoleReplica {
 			d.tell(m)
 		}
 		d.pos[m], d.learned[m] = s.Position, now
-		d.of[m].newest = max(d.of[m].newest, s.Position)
+		g.newest = max(g.newest, s.Position)
 	}
-	g := d.of[m]
 	if s.Role == RoleReplica {
 		if answer {
 			d.demoted[m] = now
--- a/rules/state.go
+++ b/rules/state.go
@@ -211,9 +211,10 @@
 func (d *Driver) drop(m member) {
 	g := d.of[m]
 	g.members = slices.DeleteFunc(g.members, func(o member) bool { return o == m })
-	if g.newest = 0; g.primary == m {
+	if g.primary == m {
 		g.primary = nobody
 	}
+	g.newest = 0
 	for _, o := range g.members {
 		g.newest = max(g.newest, d.pos[o])
 	}
