A probe that was never made for want of a descriptor does not make its member mute

Cause: looks took a probe that ended with NoDescriptor for one that the member did not answer, though none was made.

--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -33,7 +33,7 @@
 	if !usable || o.Answer == nil && o.End != transport.TimedOut && o.End != transport.Withheld { // one that broke tells nothing now
 		o = l.lookAnew(by, to, address, mute, may)
 	}
-	if o.End != transport.Withheld {
+	if o.End != transport.Withheld && o.End != transport.NoDescriptor { // else none was made, which tells nothing
 		l.setMute(to, o.Answer == nil)
 	}
 	return o
--- a/internal/program/pools_test.go
+++ b/internal/program/pools_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -34,3 +35,16 @@
 	}
 	require.Equal(t, 0, p.leave(member), "no more")
 }
+
+// Guards against members that are taken for mute since this driver had no descriptor for a look at them.
+func TestNoDescriptorTellsNothing(t *testing.T) {
+	const member = rules.MemberID(1)
+	d := transport.NewDescriptors(0) // one, which is discovery's
+	l := newLooks(newPools(context.Background(), d, &Posting{ConnectWithin: 20 * time.Millisecond, MemoryMB: 32}))
+	may := func() bool { return true }
+	require.Equal(t, transport.NoDescriptor, l.look(context.Background(), member, "127.0.0.1:9", may).End)
+	require.False(t, l.isMute(member))
+	d.Resize(1000)
+	require.Equal(t, transport.DialRefused, l.look(context.Background(), member, "127.0.0.1:9", may).End)
+	require.True(t, l.isMute(member), "one that refuses is")
+}
