Debug log: each request by its id, why an attempt began or not, how it ended, roles passed over

The reported logs could not tell as what a read was let through, nor what its answers stated. Probes, attempts, admissions, answers and client connections now leave a line at debug level; a role that is passed over for the position beside it leaves one at info level.

--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -48,6 +48,7 @@
 	if while := lingers[end]; while > 0 {
 		c.Linger(while, mostWaste)
 	}
+	p.log.Debugf("client connection closed end=%q", end)
 	c.Close(end)
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -38,6 +38,7 @@
 	clock    clock.Clock
 	stirred  chan struct{} // a timer or a duty has been added
 	log      logrus.FieldLogger
+	trace    trace
 	gate     *cells.Gate      // nil where tenants have no cells
 	looked   int64            // when members were last probed for a move
 	holder   *versions.Holder // nil where nothing has versions
@@ -52,7 +53,7 @@
 func New(told *briefing.Parts, seed int64, known protocol.Targets, log logrus.FieldLogger) (*Router, error) {
 	r := &Router{registry: newRegistry(), looks: map[rules.MemberID][]func(rules.ProbeResult){},
 		trips: map[rules.RPCID]*Trip{}, ids: ids{held: map[string]bool{}}, numbers: map[string]rules.MethodID{}, clock: clock.New(),
-		stirred: make(chan struct{}, 1), log: log}
+		stirred: make(chan struct{}, 1), log: log, trace: newTrace(log)}
 	r.methods = told.Methods()
 	for i, m := range r.methods {
 		r.numbers[m.Name] = rules.MethodID(i)
@@ -127,6 +128,7 @@
 	}
 	found := o.found()
 	found.Opened = r.at(o.Opened)
+	r.trace.printf("probe ended member=%d end=%q role=%s position=%d", to, o.End, roleNames[found.Role], found.Position/milli)
 	waiting[0](found)
 }
 
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -103,6 +103,7 @@
 		return nil, errID
 	}
 	t := r.open(id)
+	r.trace.printf("taken id=%s method=%s group=%d left_ms=%d waited_ms=%d", id, c.Method, c.Group, rpc.Left/milli, rpc.Waited/milli)
 	if r.gate == nil {
 		t.take(rpc)
 	} else {
@@ -154,7 +155,9 @@
 	t.r.mu.Lock()
 	defer t.r.mu.Unlock()
 	c := &t.calls[number]
-	return !t.ended && c.next != nil && (t.pass == nil || t.may()) && t.r.driver.May(t.id, c.to)
+	may := !t.ended && c.next != nil && (t.pass == nil || t.may()) && t.r.driver.May(t.id, c.to)
+	t.r.trace.printf("begins id=%s number=%d member=%d allowed=%t", t.name, number, c.to, may)
+	return may
 }
 
 // Pick waits for the next step.
@@ -199,6 +202,8 @@
 	}
 	result := rules.Result{Proof: v.proof, Cause: v.cause, Took: t.r.now() - c.sent, Final: t.ended, Sighting: o.sighting()}
 	result.Opened = t.r.at(o.Opened)
+	t.r.trace.printf("attempt ended id=%s number=%d member=%d took_ms=%d end=%q proof=%q role=%s position=%d",
+		t.name, number, c.to, result.Took/milli, o.End, proofNames[v.proof], roleNames[result.Role], result.Position/milli)
 	next(result)
 	t.drop()
 }
@@ -214,6 +219,7 @@
 	by, cancel := context.WithCancelCause(by)
 	t.calls = append(t.calls, call{to: to, sent: r.now(), until: r.now() + int64(span), next: next, cancel: func() { cancel(transport.Cancelled); stop() }})
 	t.out++
+	r.trace.printf("attempt id=%s number=%d member=%d within_ms=%d", t.name, n, to, span.Milliseconds())
 	t.steps <- Step{Act: Attempt, Number: n, Member: to, Address: r.registry.address(to), By: by, Fence: t.fence()}
 	return n
 }
@@ -222,6 +228,7 @@
 func (t *Trip) finish(s Step) {
 	if !t.ended {
 		t.ended = true
+		t.r.trace.printf("answer id=%s act=%q attempts=%d come_back_ms=%d", t.name, actNames[s.Act], len(t.calls), s.ComeBack/milli)
 		if t.pass != nil {
 			t.answered(s.Act)
 		}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -303,6 +303,9 @@
 func (d *Driver) sighted(m member, s Sighting, answer bool) {
 	now := d.host.Now()
 	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
+		if s.Role != RoleUnknown && s.Role != d.role[m] {
+			d.logf("role passed over member=%d position_below_ns=%d", d.ids[m], d.pos[m]-s.Position)
+		}
 		return
 	}
 	g := d.of[m]
