--- a/internal/program/standins_test.go
+++ b/internal/program/standins_test.go
@@ -80,12 +80,44 @@
 	role   string
 	act    string // what it does with statements: a state, "reset" or "silent"; empty for serving them
 	got    []string
-	looks  int // probes that it got
-	opened int // connections, past their startup messages
+	states func() status // what its answers state of itself; nil for its role, and a position that is now
+	report func() string // its load report; nil for one that says the same
+	sent   []exchange    // what it answered clients' statements, in the order of its answers
+	looks  int           // probes that it got
+	opened int           // connections, past their startup messages
 	conns  map[net.Conn]bool
 	link   sync.RWMutex // held for writing while nothing gets through
 }
 
+// status is what a member states of itself: "leader" or "follower", and its log position in Unix milliseconds.
+type status struct {
+	role     string
+	position int64
+}
+
+// exchange is one statement of a client as a member saw it.
+type exchange struct {
+	came, answered time.Time // its last byte; just before its answer was written
+	status                   // what the answer stated
+}
+
+func (m *member) status() status {
+	if m.states != nil {
+		return m.states()
+	}
+	return status{m.role, time.Now().UnixMilli()}
+}
+
+// text is the status as the messages of an answer.
+func (s status) text() string {
+	return said("S", "node_role\x00"+s.role+"\x00") + said("S", fmt.Sprintf("replay_position\x00%d\x00", s.position))
+}
+
+// reported is the load report that states it.
+func (s status) reported() string {
+	return fmt.Sprintf("x0=%d.%03d,x1=%d", s.position/1000, s.position%1000, map[string]int{"leader": 1}[s.role])
+}
+
 func newMember(t *testing.T, name, role string) *member {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -165,21 +197,26 @@
 		if err != nil || kind != 'Q' {
 			return
 		}
+		came := time.Now()
 		m.link.RLock()
 		m.link.RUnlock()
-		io.WriteString(s, m.answer(s, strings.TrimSuffix(body, "\x00")))
+		io.WriteString(s, m.answer(s, strings.TrimSuffix(body, "\x00"), came))
 	}
 }
 
-func (m *member) answer(s *stream, statement string) string {
+func (m *member) answer(s *stream, statement string, came time.Time) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now().UnixMilli()
-	tail := said("S", "node_role\x00"+m.role+"\x00") + said("S", fmt.Sprintf("replay_position\x00%d\x00", now)) + said("Z", "I")
+	is := m.status()
+	tail := is.text() + said("Z", "I")
 	if statement == "SHOW server_load" {
 		m.looks++
-		return row(fmt.Sprintf("x0=%.3f,x1=%d", float64(now)/1000, map[string]int{"leader": 1}[m.role])) + tail
+		if m.report != nil {
+			return row(m.report()) + said("Z", "I")
+		}
+		return row(is.reported()) + tail
 	}
+	m.sent = append(m.sent, exchange{came, time.Now(), is})
 	m.got = append(m.got, statement)
 	switch m.act {
 	case "":
