Roles are ordered by when they were stated, not by the position beside them

Cause: sighted dropped a role together with a position below the known one. A position says how far a member has applied, not when it spoke; while a group has no primary none moves, so that nothing unseated the former primary. Reported positions came out up to 128 ns (seen: 192 ns) above the answer's, read as a float64 of seconds; the commit of a write is rounded up.

A primary not heard of for 500 ms, or with whose answer a word may have been lost, is asked first. A former primary is not left to check its own data before it was seen to follow.

--- a/internal/briefing/parts.go
+++ b/internal/briefing/parts.go
@@ -136,6 +136,19 @@
 	return n * micro
 }
 
+// Seconds reads a decimal number of seconds as nanoseconds, exactly; what is finer is cut off. A float64 has not the digits for a Unix time.
+func (p *Parts) Seconds(name string) int64 {
+	const digits = 9
+	text := p.Text(name)
+	whole, fraction, _ := strings.Cut(text, ".")
+	fraction = fraction[:min(len(fraction), digits)]
+	n, err := strconv.ParseInt(whole+fraction+strings.Repeat("0", digits-len(fraction)), 10, 64)
+	if err != nil || strings.ContainsAny(fraction, "+-") {
+		return int64(p.NumberOr(name, 0) * 1e9) // of another form, or no number
+	}
+	return n
+}
+
 func (p *Parts) List(name string) []string {
 	if p.At(name) == "" {
 		return nil
--- a/internal/briefing/start.go
+++ b/internal/briefing/start.go
@@ -98,7 +98,7 @@
 	if _, ok := p.Get("x0"); !ok {
 		return s
 	}
-	s.Position = epoch + int64(p.NumberOr("x0", 0)*1e9)
+	s.Position = epoch + p.Seconds("x0")
 	s.Role = rules.RoleReplica
 	if p.NumberOr("x1", 0) >= 0.5 {
 		s.Role = rules.RolePrimary
--- a/internal/emulator/sockets/clients.go
+++ b/internal/emulator/sockets/clients.go
@@ -74,7 +74,7 @@
 		by, stop := context.WithTimeout(ctx, connectWithin)
 		defer stop()
 		var end transport.End
-		if m, end = protocol.Connect(c.fleet.life, by, c.sockets, address, 1<<20); end != transport.Open {
+		if m, end = protocol.Connect(c.fleet.life, by, c.sockets, address, 1<<20, nil); end != transport.Open {
 			reply.Fate = NoDriver
 			return reply
 		}
--- a/internal/emulator/sockets/drivers.go
+++ b/internal/emulator/sockets/drivers.go
@@ -236,7 +236,7 @@
 func (d *Driver) Ready(by context.Context) error {
 	sockets := transport.NewDescriptors(mostConns)
 	for by.Err() == nil {
-		m, end := protocol.Connect(by, by, sockets, d.Address, protocol.RingBytes)
+		m, end := protocol.Connect(by, by, sockets, d.Address, protocol.RingBytes, nil)
 		if end == transport.Open {
 			end = m.Ready(by)
 			m.Close(transport.ShutDown)
--- a/internal/program/looks.go
+++ b/internal/program/looks.go
@@ -41,7 +41,7 @@
 
 // lookAnew probes over a new connection, and then over one from before, where the member did not answer meanwhile.
 func (l *looks) lookAnew(by context.Context, to rules.MemberID, address string, mute bool, may func() bool) routing.Outcome {
-	w, end := l.pools.open(by, address)
+	w, end := l.pools.open(by, to, address)
 	if end != transport.Open {
 		return routing.Outcome{End: end}
 	}
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -18,7 +18,8 @@
 	d             *transport.Descriptors
 	connectWithin time.Duration
 	idleFor       time.Duration
-	mostAnswer    int // bytes
+	mostAnswer    int                  // bytes
+	denied        func(rules.MemberID) // hears at once of a member's word that it is no primary
 
 	mu    sync.Mutex
 	idle  map[rules.MemberID][]link
@@ -51,9 +52,9 @@
 	return false
 }
 
-func newPools(life context.Context, d *transport.Descriptors, posting *Posting) *pools {
+func newPools(life context.Context, d *transport.Descriptors, posting *Posting, denied func(rules.MemberID)) *pools {
 	return &pools{life: life, d: d, connectWithin: posting.ConnectWithin, idleFor: posting.IdleFor,
-		mostAnswer: int(posting.MemoryMB << 20 / answerShare), idle: map[rules.MemberID][]link{},
+		mostAnswer: int(posting.MemoryMB << 20 / answerShare), denied: denied, idle: map[rules.MemberID][]link{},
 		doubt: map[rules.MemberID]bool{}, used: map[rules.MemberID]*uses{}}
 }
 
@@ -63,7 +64,7 @@
 	statement func(within time.Duration) []string) routing.Outcome {
 	l, ok := p.waiting(to, address)
 	if end := transport.Open; !ok {
-		if l, end = p.open(by, address); end != transport.Open {
+		if l, end = p.open(by, to, address); end != transport.Open {
 			return routing.Outcome{End: end}
 		}
 	}
@@ -98,15 +99,16 @@
 // open opens a connection, if need be in place of one that is idle, or once there is one or a descriptor to spare. It guards
 // against members that are taken for silent where there are more of them than descriptors, and against clients kept out since
 // connections to members that carry nothing hold all.
-func (p *pools) open(by context.Context, address string) (link, transport.End) {
+func (p *pools) open(by context.Context, to rules.MemberID, address string) (link, transport.End) {
 	within, stop := context.WithTimeoutCause(by, p.connectWithin, transport.DialTimedOut)
 	defer stop()
 	if p.d.Free() <= p.d.Limit()/roomShare { // as much as waiting clients may hold is left to clients
 		p.evict()
 	}
-	m, end := protocol.Connect(p.life, within, p.d, address, p.mostAnswer)
+	denied := func() { p.denied(to) }
+	m, end := protocol.Connect(p.life, within, p.d, address, p.mostAnswer, denied)
 	for end == transport.NoDescriptor && (p.evict() || rest(within, descriptorRest)) {
-		m, end = protocol.Connect(p.life, within, p.d, address, p.mostAnswer)
+		m, end = protocol.Connect(p.life, within, p.d, address, p.mostAnswer, denied)
 	}
 	now := time.Now()
 	return link{Member: m, address: address, opened: now, since: now}, end
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	p.ready = newReadiness()
-	p.pools = newPools(life, p.descriptors, posting)
+	p.pools = newPools(life, p.descriptors, posting, p.router.ReportDenied)
 	p.looks = newLooks(p.pools)
 	if p.peers, err = newPeers(posting.PeerListen, posting.PeersAll, log); err != nil {
 		return err
--- a/internal/protocol/member.go
+++ b/internal/protocol/member.go
@@ -12,7 +12,8 @@
 // Member is a connection to a member. It carries one statement at a time.
 type Member struct {
 	*transport.Conn
-	most int // bytes of one message
+	most   int    // bytes of one message
+	denied func() // called as soon as it says that it is no primary, whatever becomes of what it says that in
 }
 
 // Answer is what a member made of a statement, and what it told of itself.
@@ -28,13 +29,13 @@
 const startup = "\x00\x00\x00\x25\x00\x03\x00\x00user\x00backend\x00database\x00store\x00\x00"
 
 // Connect opens a connection to a member, which may answer with up to most bytes, and waits until it is ready, until
-// by ends.
-func Connect(life, by context.Context, d *transport.Descriptors, address string, most int) (Member, transport.End) {
+// by ends. Whenever it says that it is no primary denied is called at once, if it is not nil.
+func Connect(life, by context.Context, d *transport.Descriptors, address string, most int, denied func()) (Member, transport.End) {
 	c, end := transport.Dial(life, by, d, keptForDiscovery, address, RingBytes)
 	if end != transport.Open {
 		return Member{}, end
 	}
-	m := Member{c, most}
+	m := Member{c, most, denied}
 	defer m.endBy(by)()
 	m.Write(startup)
 	if end = m.Flush(); end == transport.Open {
@@ -73,13 +74,23 @@
 			if msg.body != "\x00\x00\x00\x00" {
 				return transport.Malformed
 			}
-		case kindParameter, kindNotice, kindBackendKey, kindVersion:
+		case kindParameter:
+			m.hear(msg.body)
+		case kindNotice, kindBackendKey, kindVersion:
 		default:
 			return transport.Malformed
 		}
 	}
 }
 
+// hear passes on at once that a ParameterStatus says that the member is no primary.
+func (m Member) hear(body string) {
+	name, value, _ := parameter(body)
+	if m.denied != nil && name == roleParameter && value == replicaRole {
+		m.denied()
+	}
+}
+
 // Ask sends a statement, given in pieces, and waits for its answer until by ends. Sent tells whether its last byte
 // was written. The connection is still good when end is Open; an answer may be whole even where it is not.
 func (m Member) Ask(by context.Context, statement ...string) (a *Answer, sent bool, end transport.End) {
@@ -124,6 +135,7 @@
 			continue
 		case kindParameter:
 			a.parameter(m.body)
+			from.hear(m.body)
 			continue
 		}
 		if whole || !a.take(m) {
@@ -168,17 +180,31 @@
 
 const oneColumn = "\x00\x01"
 
+// The parameters by which a member tells of itself, and the roles that it may have.
+const (
+	roleParameter     = "node_role"
+	positionParameter = "replay_position"
+	primaryRole       = "leader"
+	replicaRole       = "follower"
+)
+
+// parameter reads a ParameterStatus.
+func parameter(body string) (name, value string, whole bool) {
+	name, rest, _ := strings.Cut(body, "\x00")
+	value, rest, whole = strings.Cut(rest, "\x00")
+	return name, value, whole && rest == ""
+}
+
 // parameter takes in a ParameterStatus. What it tells that can't be read is not told.
 func (a *Answer) parameter(body string) {
-	name, rest, _ := strings.Cut(body, "\x00")
-	value, rest, whole := strings.Cut(rest, "\x00")
-	if !whole || rest != "" {
+	name, value, whole := parameter(body)
+	if !whole {
 		return
 	}
 	switch name {
-	case "node_role":
-		a.Primary, a.Replica = value == "leader", value == "follower"
-	case "replay_position":
+	case roleParameter:
+		a.Primary, a.Replica = value == primaryRole, value == replicaRole
+	case positionParameter:
 		a.Position, _ = millis(value, nil)
 	}
 }
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -110,7 +110,7 @@
 	} {
 		conn, _ := feed(text)
 		a := &Answer{}
-		whole, end := a.read(Member{conn, mostValue})
+		whole, end := a.read(Member{Conn: conn, most: mostValue})
 		require.Equal(t, want.whole, whole, "%q", text)
 		require.Equal(t, want.end, end, "%q", text)
 		if want.whole && want.state == "" {
@@ -128,18 +128,18 @@
 	large := about + said('D', "\x00\x01\x00\x08\x00\x00"+strings.Repeat("0123456789abcdef", 1<<15)) + said('C', "SELECT 1\x00")
 	from, _ := feed(large + ready)
 	whole := &Answer{}
-	_, end := whole.read(Member{from, mostValue})
+	_, end := whole.read(Member{Conn: from, most: mostValue})
 	require.Equal(t, transport.Open, end)
 	to, far := feed("")
 	require.Equal(t, transport.Open, Client{to}.Pass(whole))
 	require.Equal(t, large+ready, far.heard.String())
 	from, _ = feed(large + ready)
-	_, end = new(Answer).read(Member{from, 1 << 18})
+	_, end = new(Answer).read(Member{Conn: from, most: 1 << 18})
 	require.Equal(t, transport.TooLong, end)
 
 	conn, _ := feed(row + told + ready)
 	a := &Answer{}
-	_, end = a.read(Member{conn, mostValue})
+	_, end = a.read(Member{Conn: conn, most: mostValue})
 	require.Equal(t, transport.Open, end)
 	require.True(t, a.Primary)
 	require.EqualValues(t, 7, a.Position)
@@ -209,11 +209,11 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		conn, _ := feed(text)
 		a := &Answer{}
-		if whole, _ := a.read(Member{conn, mostValue}); whole && a.Failure == nil {
+		if whole, _ := a.read(Member{Conn: conn, most: mostValue}); whole && a.Failure == nil {
 			require.Len(t, a.messages, len(rowKinds))
 			a.Text()
 		}
-		Member{conn, mostValue}.greeted()
+		Member{Conn: conn, most: mostValue}.greeted()
 	})
 }
 
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -50,7 +50,7 @@
 
 // Tell passes news on, but for those that can't be told, of positions from long ago. It guards against messages that say nothing.
 func (h *host) Tell(news []rules.News) {
-	if message := briefing.Message(news, h.registry.key, 0, h.Now()); len(message) > 0 {
+	if message := briefing.Message(news, h.registry.key, 0, h.driver.StoreNow()); len(message) > 0 {
 		h.add(Spread{Message: message})
 	}
 }
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -92,19 +92,20 @@
 	case transport.NoDescriptor:
 		return rules.ProbeResult{Cause: rules.Moot}
 	}
-	return rules.ProbeResult{Cause: o.verdict().cause, Sighting: o.reported()}
+	return rules.ProbeResult{Cause: o.verdict().cause, Report: o.reported(), Sighting: o.sighting()}
 }
 
-// reported is what a probe's load report shows, or else its answer.
-func (o Outcome) reported() rules.Sighting {
-	if o.Answer != nil && o.Answer.Failure == nil {
-		var load briefing.Parts
-		load.Parse("report,"+o.Answer.Text(), ",", "=")
-		if s := load.Sighting(0); load.Err == nil && s.Role != rules.RoleUnknown {
-			return s
-		}
+// reported is what a probe's load report shows.
+func (o Outcome) reported() (s rules.Sighting) {
+	if o.Answer == nil || o.Answer.Failure != nil {
+		return s
+	}
+	var load briefing.Parts
+	load.Parse("report,"+o.Answer.Text(), ",", "=")
+	if reported := load.Sighting(0); load.Err == nil {
+		s = reported
 	}
-	return o.sighting()
+	return s
 }
 
 // sighting is what an answer shows of its member.
@@ -118,6 +119,9 @@
 	case o.Answer.Replica:
 		s.Role = rules.RoleReplica
 	}
+	if o.refusedAs(protocol.StateReadOnly) { // it took the statement for a write, and is no primary
+		s.Role = rules.RoleReplica
+	}
 	s.Position = o.Answer.Position * milli
 	return s
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -21,6 +21,10 @@
 
 const milli = int64(time.Millisecond)
 
+// sendDelay is how long after it was allowed the last byte of an attempt may be written, beyond what the rule on the age of data forgives: a
+// driver may be held up for 0.15 s between reading its clock and writing, and the rule adds 0.05 s to every bound.
+const sendDelay = 100 * milli
+
 // Router is the facade.
 type Router struct {
 	mu       sync.Mutex
@@ -63,6 +67,7 @@
 		return nil, told.Err
 	}
 	r.allowed = allowed
+	store.SendDelay = sendDelay
 	notice.Agent, notice.Asked = !notice.Asked, true // a list that is pushed is pushed to an agent, which is asked
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -111,7 +116,7 @@
 func (r *Router) ReportNews(message []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	news, ok := briefing.News(message, r.registry.member, 0, r.now())
+	news, ok := briefing.News(message, r.registry.member, 0, r.driver.StoreNow())
 	if ok {
 		r.driver.Told(news)
 	}
@@ -128,10 +133,17 @@
 	}
 	found := o.found()
 	found.Opened = r.at(o.Opened)
-	r.trace.printf("probe ended member=%d end=%q role=%s position=%d", to, o.End, roleNames[found.Role], found.Position/milli)
+	r.trace.printf("probe ended member=%d end=%q role=%s position=%d", to, o.End, roleNames[max(found.Role, found.Report.Role)], max(found.Position, found.Report.Position)/milli)
 	waiting[0](found)
 }
 
+// ReportDenied reports that a member has said that it is no primary, in what may yet turn out to be no whole answer.
+func (r *Router) ReportDenied(by rules.MemberID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.driver.Denied(by)
+}
+
 // MayLook tells whether a probe may still begin. It is asked just before its first byte is written.
 func (r *Router) MayLook(to rules.MemberID) bool {
 	r.mu.Lock()
--- a/rules/api.go
+++ b/rules/api.go
@@ -68,8 +68,9 @@
 
 // Store says how the members replicate and what they check.
 type Store struct {
-	Guarded bool // a member turns away a read for which it lags too far
-	Carried bool // session reads carry their token
+	Guarded   bool  // a member turns away a read for which it lags too far
+	Carried   bool  // session reads carry their token
+	SendDelay int64 // at most between the moment an attempt is allowed and its last byte, beyond what the rule on the age of data forgives
 }
 
 // Allowed is what the deployment lets a driver do.
@@ -181,8 +182,9 @@
 
 // ProbeResult is what a probe found. Cause is NoCause when it was answered.
 type ProbeResult struct {
-	Cause Cause
-	Sighting
+	Cause    Cause
+	Report   Sighting // what its load report says, made at an unknown time before
+	Sighting          // what the answer itself states
 }
 
 // Host is what the module asks of whatever drives it. It keeps each closure and hands it the result.
--- a/rules/cold_fleet_test.go
+++ b/rules/cold_fleet_test.go
@@ -101,7 +101,7 @@
 
 func (h *inFleet) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
 	h.probes++
-	h.after(int64(time.Millisecond), func() { next(rules.ProbeResult{Sighting: h.sighting(to)}) })
+	h.after(int64(time.Millisecond), func() { next(rules.ProbeResult{Report: h.sighting(to)}) })
 }
 
 func (h *inFleet) Tell(news []rules.News) {
--- /dev/null
+++ b/rules/freshness.go
@@ -0,0 +1,139 @@
+package rules
+
+import "fmt"
+
+const (
+	roleTrusted = 500 * ms // a primary that was heard to be one within this time gets reads as one
+	soonestLook = 50 * ms  // between two rounds of a member's own probes
+	looksApart  = 100 * ms // between two probes by which a primary is asked whether it still is one
+)
+
+// basis says why a member may answer a read, or that it may not.
+type basis int
+
+const (
+	noBasis     basis = iota
+	asPrimary         // it is the primary, and was heard to be lately
+	asClaimed         // it is the primary by the last word that could be had of it
+	asAnyMember       // any data will do
+	asFresh           // its position is known to be within the bound, or at the token or past it
+	asChecking        // it is likely to be within the bound, and turns the read away if it is not
+)
+
+var basisNames = [...]string{"none", "primary", "claimed primary", "any member", "position", "checks itself"}
+
+// basis tells on what ground a member may answer an RPC at this moment. It is asked when the member is chosen and again just before the first
+// byte of the attempt, for every attempt alike.
+func (d *Driver) basis(m member, c *call) basis {
+	k := &d.known[m]
+	if k.position < c.Floor {
+		return noBasis
+	}
+	primary := c.group.primary == m
+	switch {
+	case c.method.Need == NeedPrimary && primary:
+		return asPrimary
+	case !c.isRead() && !primary:
+		return noBasis
+	case c.method.Need == NeedAny:
+		return asAnyMember
+	case c.isRead() && d.reaches(m, c):
+		return asFresh
+	case primary:
+		return d.primaryBasis(m, c)
+	case c.method.Need == NeedBounded && d.likelyFresh(m, c):
+		return asChecking
+	}
+	return noBasis
+}
+
+// primaryBasis tells whether a primary may answer a read by its role. One that was not heard of for a while, or with a word of which may have
+// been lost, is asked first. Guards against a former primary that says so in an answer that breaks off, or that nobody hears: it answers from
+// data that grows older. One that can't be asked, or does not say after being asked again, is taken at its last word.
+func (d *Driver) primaryBasis(m member, c *call) basis {
+	if d.confirmed(m) {
+		return asPrimary
+	}
+	if !d.allowed.Probes || c.looks >= mostLooks {
+		return asClaimed
+	}
+	return noBasis
+}
+
+func (d *Driver) confirmed(m member) bool {
+	k := &d.known[m]
+	return k.confirmed != 0 && d.host.Now()-k.confirmed <= roleTrusted && (k.unanswered == 0 || k.made >= k.unanswered)
+}
+
+// reaches tells whether a member's known position by itself is enough for a read, whatever its role.
+func (d *Driver) reaches(m member, c *call) bool {
+	k := &d.known[m]
+	switch {
+	case k.position == 0 || !d.plausible(k.position):
+		return false
+	case c.method.Need == NeedSession:
+		return k.position >= max(c.Token, d.floor)
+	case c.method.Need == NeedBounded && (c.group.primary == m || !d.trustsCheck(m)):
+		ahead, known := d.clock.offset()
+		return known && k.position >= d.host.Now()+ahead-d.usableAge(c.method) && d.fresher(m, c)
+	}
+	return false
+}
+
+// usableAge is how old a position may be for a bounded read: the bound, less the time that may pass before the last byte is sent.
+func (d *Driver) usableAge(method *Method) int64 { return method.Bound - d.store.SendDelay - ms }
+
+// likelyFresh tells whether a replica that checks the age of its data itself is expected to be within the bound.
+func (d *Driver) likelyFresh(m member, c *call) bool {
+	return d.trustsCheck(m) && d.known[m].position != 0 && d.fresher(m, c)
+}
+
+// trustsCheck tells whether a member is left to turn away a read for which it lags too far: not where none does, not after it just turned one
+// away, and not while it has been primary and was not seen to follow another since.
+func (d *Driver) trustsCheck(m member) bool {
+	k := &d.known[m]
+	return d.store.Guarded && !k.missed && k.formerAt == 0
+}
+
+// fresher tells whether the source's estimate of a replica's staleness is within the bound.
+func (d *Driver) fresher(m member, c *call) bool {
+	return c.group.primary == m || d.staleness(m) <= c.method.Bound
+}
+
+// staleness is the source's estimate, but for the primary's term, the least of its office, lest its slow
+// answer make replicas look fresher, and for an overdue replica, which grows staler.
+func (d *Driver) staleness(m member) int64 {
+	g, k := d.of[m], &d.known[m]
+	unheard := max(d.interval, d.host.Now()-k.learned)
+	if p := g.primary; p != nobody && d.known[p].leastLead != 0 {
+		return k.learned - k.position - d.known[p].leastLead + unheard
+	}
+	return g.newest - k.position + unheard
+}
+
+// confirm asks a primary whether it still is one, for a read that waits for that.
+func (d *Driver) confirm(m member, c *call) {
+	if d.asking[m] == 0 && d.host.Now()-d.lookedAt[m] >= looksApart {
+		c.looks++
+		d.probe(m)
+	}
+}
+
+// Basis tells for the log why an attempt at a member may begin.
+func (d *Driver) Basis(id RPCID, to MemberID) string {
+	c := d.calls[id]
+	m, known := d.index[to]
+	if c == nil || !known {
+		return basisNames[noBasis]
+	}
+	k, now := &d.known[m], d.host.Now()
+	return fmt.Sprintf("%s age_ms=%d confirmed_ms=%d", basisNames[d.basis(m, c)], (d.clock.at(now)-k.position)/ms, (now-k.confirmed)/ms)
+}
+
+// probeWithin is how old a position may grow before a probe for a bounded method's sake: half of what is usable.
+func (d *Driver) probeWithin(m Method) int64 {
+	if d.store.Guarded {
+		return m.Bound / 2
+	}
+	return (m.Bound - d.store.SendDelay) / 2
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -52,7 +52,7 @@
 func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw,
 	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
-		roster: roster{notice: notice}, sightings: sightings{store: store, crew: crew},
+		roster: roster{notice: notice}, observations: observations{store: store, crew: crew},
 		health:  health{first: max(1, firstRoom/float64(max(1, crew.Drivers)))},
 		thawing: thawing{Thaw: thaw}, spare: 5, success: 0.5, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
@@ -60,9 +60,10 @@
 	for _, m := range methods {
 		d.soft += m.SoftDeadline / int64(len(methods))
 		if m.Need == NeedBounded {
-			half = min(half, m.Bound/2)
+			half = min(half, d.probeWithin(m))
 		}
 	}
+	half = max(half, shortestProbe/2)
 	d.due = min(longestProbe, max(shortestProbe, half))
 	d.rarest = min(rarestProbe, d.due*int64(max(1, crew.Drivers/2)))
 	if crew.News == 0 { // else the fellow drivers' probes serve as well
@@ -90,8 +91,7 @@
 			d.size[m] = l.Size
 		}
 		d.listing[m] = max(d.listing[m], l.Started)
-		d.started[m] = max(d.started[m], l.Started)
-		if g := d.of[m]; l.Primary && g.primary == nobody && d.role[m] == RoleUnknown {
+		if g := d.of[m]; l.Primary && g.primary == nobody && d.known[m].role == RoleUnknown {
 			g.primary = m
 		}
 	}
@@ -119,7 +119,7 @@
 func (d *Driver) firstLook(m member) {
 	if d.crew.News > 0 {
 		apart := fewOrMany(d, ms, newcomers)
-		d.host.After(d.rng.Int63n(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
+		d.host.After(d.upTo(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
 		return
 	}
 	now := d.host.Now()
@@ -139,7 +139,7 @@
 		return
 	}
 	d.pausing = true
-	pause := sec/2 + d.rng.Int63n(3*sec/2)
+	pause := sec/2 + d.upTo(3*sec/2)
 	if d.notice.Agent {
 		pause = min(pause, d.notice.Grace/4)
 	}
@@ -161,26 +161,29 @@
 func (d *Driver) probeLoop(m member) {
 	now := d.host.Now()
 	idle := d.out[m] == 0 && d.asking[m] == 0
-	if idle && d.state[m] != Healthy && now-max(d.heard[m], d.learned[m]) > forgetAfter {
+	if idle && d.state[m] != Healthy && now-max(d.heard[m], d.known[m].learned) > forgetAfter {
 		d.drop(m)
 		return
 	}
-	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-d.learned[m]
+	learned := d.known[m].learned
+	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-learned
 	enough := wait
 	if d.crew.News == 0 || !d.many() {
 		enough = min(wait, 2*d.due)
 	}
-	if d.here(m) && (d.silent[m] || d.learned[m] == 0 || d.old(m) && age >= enough) {
+	if d.here(m) && (d.silent[m] || learned == 0 || d.old(m) && age >= enough) {
 		d.probe(m)
 	} else if age < d.due {
 		wait -= age
 	}
-	d.host.After(wait+d.rng.Int63n(wait/4), func() { d.probeLoop(m) })
+	wait = max(wait, soonestLook)
+	d.host.After(wait+d.upTo(wait/4), func() { d.probeLoop(m) })
 }
 
 // old tells whether a probe could bring a better position: who was far behind needs half of that to catch up.
 func (d *Driver) old(m member) bool {
-	return d.learned[m] == 0 || d.host.Now()-d.learned[m] >= max(d.due, min(d.learned[m]-d.pos[m], 4*sec)/2)
+	k := &d.known[m]
+	return k.learned == 0 || d.host.Now()-k.learned >= max(d.due, min(k.lag, 4*sec)/2)
 }
 
 func (d *Driver) probe(m member) {
@@ -198,13 +201,16 @@
 }
 
 func (d *Driver) probed(m member, r ProbeResult) {
+	asked := d.asking[m]
 	d.asking[m] = 0
 	if r.Cause == Moot { // it was never sent
 		return
 	}
+	d.lookedAt[m] = d.host.Now()
 	if r.Cause == NoCause || r.Cause == Full || r.Cause == Errored { // whatever it answers it is alive
 		d.alive(m, r.Opened)
-		d.sighted(m, r.Sighting, false)
+		d.observe(m, r.Report, byReport, asked)
+		d.observe(m, r.Sighting, byAnswer, asked)
 	} else if d.host.Now()-d.heard[m] >= hush { // else it lives, and only the probe's connection broke
 		d.hushed(m)
 		if d.crew.News == 0 { // look again soon: it may have stood still for a moment
@@ -229,12 +235,12 @@
 		var news []News
 		for m, untold := range d.untold {
 			d.untold[m] = false
-			if untold && len(news) < d.crew.News && d.host.Now()-d.learned[m] < d.due {
+			if untold && len(news) < d.crew.News && d.host.Now()-d.known[m].learned < d.due {
 				ran := int64(0)
 				if d.opened[m] != 0 {
 					ran = d.heard[m] - d.opened[m]
 				}
-				news = append(news, News{d.ids[m], Sighting{Role: d.role[m], Position: d.pos[m]}, d.answered[m],
+				news = append(news, News{d.ids[m], Sighting{Role: d.known[m].role, Position: d.known[m].position}, d.answered[m],
 					d.erred[m], ran})
 				d.answered[m], d.erred[m] = 0, false
 			}
@@ -249,8 +255,8 @@
 // Told takes in a fellow driver's news. A position once true stays true, whoever saw it.
 func (d *Driver) Told(news []News) {
 	for _, n := range news {
-		if m, known := d.index[n.Member]; known && n.Position > d.pos[m] {
-			d.sighted(m, n.Sighting, false)
+		if m, known := d.index[n.Member]; known && d.isNew(m, n.Sighting) {
+			d.observe(m, n.Sighting, byGossip, 0)
 			d.untold[m] = false
 			if n.Took > 0 {
 				d.learn(m, float64(n.Took), d.soft)
@@ -260,13 +266,19 @@
 			}
 			d.ranOn(m, n.Ran)
 			if d.silent[m] { // it has moved on: look for ourselves, not all at once
-				d.host.After(d.rng.Int63n(hush), func() { d.probe(m) })
+				d.host.After(d.upTo(hush), func() { d.probe(m) })
 			}
 			d.wake(d.of[m])
 		}
 	}
 }
 
+// isNew tells whether a peer's word of a member says more than is known: a higher position, or another role at the same one.
+func (d *Driver) isNew(m member, s Sighting) bool {
+	k := &d.known[m]
+	return s.Position > k.position || s.Role != k.role && s.Position+rounding >= k.position
+}
+
 // hushed marks a member that does not answer. Guards against crashed, cut off and hung members: nothing is
 // lost on it before it answers again. Could harm where only probes get lost.
 func (d *Driver) hushed(m member) {
@@ -284,7 +296,7 @@
 		d.logf("answers again member=%d after_ms=%d", d.ids[m], (now-d.since[m])/ms)
 		if now-d.since[m] > longHush && (opened == 0 || opened >= d.since[m]) {
 			d.room[m], d.back[m] = 1, true
-			d.started[m], d.guessed[m] = max(d.started[m], now-hush), d.since[m]
+			d.restarted[m], d.guessed[m] = now-hush, d.since[m]
 		}
 	}
 	d.heard[m], d.opened[m] = now, opened
@@ -295,81 +307,8 @@
 func (d *Driver) ranOn(m member, ran int64) {
 	if d.guessed[m] != 0 && !d.silent[m] && d.host.Now()-ran < d.guessed[m] {
 		d.logf("ran on member=%d for_ms=%d", d.ids[m], ran/ms)
-		d.started[m], d.guessed[m] = d.listing[m], 0
-	}
-}
-
-// sighted takes in a role and a position. Positions never go back: an older one comes with an older role.
-func (d *Driver) sighted(m member, s Sighting, answer bool) {
-	now := d.host.Now()
-	if s.Position != 0 && s.Position < d.pos[m] || s.Role == RoleUnknown {
-		if s.Role != RoleUnknown && s.Role != d.role[m] {
-			d.logf("role passed over member=%d position_below_ns=%d", d.ids[m], d.pos[m]-s.Position)
-		}
-		return
-	}
-	g := d.of[m]
-	if s.Position != 0 {
-		age := now - d.learned[m]
-		if s.Role != d.role[m] || age >= 2*d.due || age >= d.interval && s.Role == RoleReplica {
-			d.tell(m)
-		}
-		d.pos[m], d.learned[m] = s.Position, now
-		g.newest = max(g.newest, s.Position)
-	}
-	if s.Role == RoleReplica {
-		if answer {
-			d.demoted[m] = now
-		}
-		d.role[m] = RoleReplica
-		if g.primary == m {
-			g.primary = nobody
-			d.logf("primary lost group=%d member=%d", g.id, d.ids[m])
-		}
-		return
-	}
-	dated := cmp.Or(s.Position, now)
-	if d.demoted[m] != 0 && dated <= d.demoted[m]+handover {
-		return // from before the answer that demoted it, or from a member about to hand over
-	}
-	if lead := now - s.Position; s.Position != 0 && (d.role[m] != RolePrimary || lead < d.least[m]) {
-		d.least[m] = lead
-	}
-	d.role[m] = RolePrimary
-	if g.primary != m && dated >= g.since {
-		g.primary = m
-		d.logf("primary group=%d member=%d evidence_ms=%d", g.id, d.ids[m], (now-dated)/ms)
-	}
-	g.since = max(g.since, dated)
-}
-
-// staleness is the source's estimate, but for the primary's term, the least of its office, lest its slow
-// answer make replicas look fresher, and for an overdue replica, which grows staler.
-func (d *Driver) staleness(m member) int64 {
-	g := d.of[m]
-	unheard := max(d.interval, d.host.Now()-d.learned[m])
-	if p := g.primary; p != nobody && d.least[p] != 0 {
-		return d.learned[m] - d.pos[m] - d.least[p] + unheard
-	}
-	return g.newest - d.pos[m] + unheard
-}
-
-// fresh tells whether a replica's data will do for an RPC.
-func (d *Driver) fresh(m member, c *call) bool {
-	if d.pos[m] < c.Floor {
-		return false
+		d.restarted[m], d.guessed[m] = 0, 0
 	}
-	switch c.method.Need {
-	case NeedAny:
-		return true
-	case NeedBounded:
-		// The known position decides where members do not check themselves, or one just turned a read away.
-		known := d.store.Guarded && !d.missed[m] || d.pos[m] >= d.host.Now()-c.method.Bound+ms
-		return known && d.pos[m] != 0 && d.staleness(m) <= c.method.Bound
-	case NeedSession:
-		return d.pos[m] >= max(c.Token, d.floor)
-	}
-	return false
 }
 
 // pick names the member for the next attempt of an RPC, or nobody if it has to wait. Where none passes, one
@@ -377,18 +316,19 @@
 // reads of drivers that see little. Could harm where probes are dear.
 func (d *Driver) pick(c *call) member {
 	g, p := c.group, c.group.primary
-	var passers, unknown []member
+	passers, unknown := d.picking.passers[:0], d.picking.unknown[:0]
 	look := d.many() && c.looks < mostLooks && c.isRead() && d.allowed.Probes
 	for _, m := range g.members {
 		switch {
 		case m == p || (!d.store.Guarded || d.many()) && !d.atEase(m, c):
 		case !d.fits(m, c, 1) || slices.Contains(c.tried, m):
-		case d.fresh(m, c):
+		case d.basis(m, c) != noBasis:
 			passers = append(passers, m)
 		case look && d.old(m):
 			unknown = append(unknown, m)
 		}
 	}
+	d.picking.passers, d.picking.unknown = passers, unknown
 	if len(passers) == 0 {
 		passers = unknown
 	}
@@ -397,12 +337,18 @@
 		share, again = readShare, !slices.Contains(c.tried, p)
 	}
 	jam := fewOrMany(d, jammed, crowded)
-	primary := p != nobody && again && d.pos[p] >= c.Floor && d.atEase(p, c) && d.fits(p, c, share)
+	primary := p != nobody && again && d.known[p].position >= c.Floor && d.atEase(p, c) && d.fits(p, c, share)
+	if primary && d.basis(p, c) == noBasis {
+		primary = false
+		if len(passers) == 0 {
+			d.confirm(p, c)
+		}
+	}
 	for primary || len(passers) > 0 {
 		m := d.windowed(passers, c.looked)
 		if m == nobody || primary && d.cost(p)*jam < d.cost(m) {
 			m = p
-		} else if !d.fresh(m, c) {
+		} else if d.basis(m, c) == noBasis {
 			c.looked, c.looks = m, c.looks+1
 			d.probe(m)
 			return nobody
@@ -440,17 +386,18 @@
 	if slices.Contains(passers, looked) {
 		return looked
 	}
-	costs, lots, sum := make([]float64, len(passers)), make([]float64, len(passers)), 0.0
-	for i, m := range passers {
-		costs[i] = d.cost(m)
+	costs, lots, sum := d.picking.costs[:0], d.picking.lots[:0], 0.0
+	for _, m := range passers {
+		costs = append(costs, d.cost(m))
 	}
 	limit := slices.Min(costs)*(1+fewOrMany(d, wideWindow, widest)) + float64(window)
 	for i, m := range passers {
 		if costs[i] <= limit {
 			sum += d.size[m] / (costs[i] * costs[i])
 		}
-		lots[i] = sum
+		lots = append(lots, sum)
 	}
+	d.picking.costs, d.picking.lots = costs, lots
 	lot := sum * (1 - d.rng.Float64()) // more than 0, so that none outside the window is drawn
 	return passers[slices.IndexFunc(lots, func(upTo float64) bool { return lot <= upTo })]
 }
@@ -483,19 +430,28 @@
 // Lots are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
 func (d *Driver) thawed(m member) bool {
 	now := d.host.Now()
-	age := now - d.started[m]
-	if d.started[m] == 0 || age >= d.WarmAfter {
+	started := d.startOf(m)
+	age := now - started
+	if started == 0 || age >= d.WarmAfter {
 		return true
 	}
 	g := d.of[m]
 	able := d.Share + (1-d.Share)*float64(age)/float64(d.WarmAfter)
-	span := min(savedUp*g.gap, float64(now-max(d.fed[m], d.started[m]))) // since the last lot
+	span := min(savedUp*g.gap, float64(now-max(d.fed[m], started))) // since the last lot
 	d.fed[m] = now
 	bore := float64(d.borne[m]) / float64(max(10*sec, now-d.begun)) // itself, in the mean
 	rate := max(bore, 1/(g.gap*max(1, g.bore)))
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
+// startOf is when a member started last, by the list or by a silence that is taken for a restart, on the driver's clock; 0 for long ago.
+func (d *Driver) startOf(m member) int64 {
+	if d.listing[m] == 0 {
+		return d.restarted[m]
+	}
+	return max(d.clock.from(d.listing[m]), d.restarted[m])
+}
+
 // May tells whether an attempt that was made may still begin: it is asked just before its first byte is
 // written. Guards against whatever changed since the decision, while a connection was waited for: the list,
 // the primary, positions, the window for repeats, the deadline, a client that left.
@@ -505,7 +461,7 @@
 	if c == nil || !known || !d.here(m) || d.host.Now() >= c.deadline || !d.mayRepeat(c, m) {
 		return false
 	}
-	return c.group.primary == m || c.isRead() && d.fresh(m, c)
+	return d.basis(m, c) != noBasis
 }
 
 // MayLook tells whether a probe that was made may still begin.
@@ -632,7 +588,7 @@
 		if r.Proof != Started && counted {
 			d.out[m]--
 		}
-		d.judge(c, m, r, r.Took >= wait && d.borne[m] < before+overtakers)
+		d.judge(c, m, now, r, r.Took >= wait && d.borne[m] < before+overtakers)
 		d.settle(c, m, now, number, r)
 	})
 	c.out = append(c.out, number)
@@ -735,7 +691,7 @@
 }
 
 // judge learns from a result how its member fares, but not where its client had little time to wait for it.
-func (d *Driver) judge(c *call, m member, r Result, long bool) {
+func (d *Driver) judge(c *call, m member, sent int64, r Result, long bool) {
 	now := d.host.Now()
 	switch cause := r.Cause; {
 	case cause == NoConnect:
@@ -744,8 +700,8 @@
 		d.probe(m)
 	case cause == NoCause || cause == Errored || cause == Missed || cause == Full:
 		d.alive(m, r.Opened)
-		d.sighted(m, r.Sighting, true)
 	}
+	d.observeResult(c, m, r, sent)
 	if r.Proof == OK || r.Cause == Errored {
 		d.fares(m, r.Cause == Errored)
 		d.erred[m] = r.Cause == Errored
@@ -760,17 +716,30 @@
 	case r.Proof == OK:
 		d.borne[m]++
 		d.lost[m], d.refused[m], d.answered[m] = 0, 0, r.Took
-		d.missed[m] = d.missed[m] && c.method.Need == NeedAny
+		d.known[m].missed = d.known[m].missed && c.method.Need == NeedAny
 		c.group.took += 0.03 * (float64(r.Took) - c.group.took)
 		d.teach(m, float64(r.Took), c.method.ample(), true)
 	case r.Cause == Missed && c.isRead():
-		d.missed[m] = true
+		d.known[m].missed = true
 	case r.Cause == Full:
 		d.rest(m)
 		d.room[m] = max(1, min(d.room[m], float64(d.out[m]+1))*0.8)
 	}
 }
 
+// observeResult takes in what the end of an attempt tells of its member's role: what it stated, that it turned away what only a primary takes,
+// or that its word may have been lost.
+func (d *Driver) observeResult(c *call, m member, r Result, sent int64) {
+	s := r.Sighting
+	if r.Cause == Missed && !c.isRead() {
+		s.Role = RoleReplica
+	}
+	d.observe(m, s, byAnswer, sent)
+	if r.Proof == MayHaveRun && s.Role == RoleUnknown {
+		d.known[m].unanswered = d.host.Now()
+	}
+}
+
 // ample is how long an answer may take without losing much: past the soft deadline by what late ones are
 // worth.
 func (m *Method) ample() int64 {
@@ -815,7 +784,7 @@
 // rest leaves a member alone that refused work, longer each time: many drivers would come back at once.
 func (d *Driver) rest(m member) {
 	d.refused[m] = min(d.refused[m]+1, 5)
-	wait := fullRest/2<<d.refused[m]/2 + d.rng.Int63n(fullRest/2<<d.refused[m])
+	wait := fullRest/2<<d.refused[m]/2 + d.upTo(fullRest/2<<d.refused[m])
 	d.aside[m] = max(d.aside[m], d.host.Now()+wait)
 	d.host.After(wait, func() { d.wake(d.of[m]) })
 }
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -124,7 +124,8 @@
 	case "down":
 		r.Cause = rules.NoConnect
 	default:
-		r.Sighting = p.sighting(words)
+		r.Report = p.sighting(words)
+		r.Opened = r.Report.Opened
 	}
 	p.After(takes, func() { next(r) })
 }
@@ -248,6 +249,8 @@
 			p.allowed.Copies = true
 		case "guarded":
 			p.store.Guarded = true
+		case "send-delay":
+			p.store.SendDelay = p.span(value)
 		case "asked":
 			p.notice.Asked = true
 		case "drain-only":
@@ -401,6 +404,8 @@
 			may = p.d.May(rules.RPCID(p.number(w[1])), to)
 		}
 		require.Equal(p.t, w[3] == "yes", may, p.at)
+	case "denied": // a member says outside a whole answer that it is no primary
+		p.d.Denied(rules.MemberID(p.number(w[1])))
 	case "leaves":
 		p.d.Left(rules.RPCID(p.number(w[1])))
 	case "tells":
--- a/rules/sizes_test.go
+++ b/rules/sizes_test.go
@@ -50,38 +50,44 @@
 	return d, lines
 }
 
-// least is the time that the quickest of some rounds takes, which other work on the machine changes least.
-func least(rounds int, do func()) float64 {
-	took := time.Hour
+// least are the times that the quickest of some rounds of each of several things take, which other work on the machine changes least.
+// They take turns, since the machine itself may run at another speed for a while.
+func least(rounds int, things []func()) (took []float64) {
+	for range things {
+		took = append(took, math.MaxFloat64)
+	}
 	for range rounds {
-		begun := time.Now()
-		do()
-		took = min(took, time.Since(begun))
+		for i, do := range things {
+			begun := time.Now()
+			do()
+			took[i] = min(took[i], float64(time.Since(begun)))
+		}
 	}
-	return float64(took)
+	return took
 }
 
 // Guards against work that grows faster than what it is about: a pick with the members of its group, a list with its lines,
 // also while RPCs are held.
 func TestCostsGrowWithMembers(t *testing.T) {
 	sizes := []int{100, 300, 1000}
-	var picks, lists []float64
+	var picking, listing []func()
 	for _, n := range sizes {
 		d, _ := sized(n, n)
 		last := rules.RPCID(0)
-		picks = append(picks, least(41, func() {
+		picking = append(picking, func() {
 			for range 20 {
 				last++
 				d.Take(rules.RPC{ID: last, Method: 0, Left: int64(time.Second)})
 				d.Left(last)
 			}
-		}))
-		d, lines := sized(n, 20)
+		})
+		held, lines := sized(n, 20)
 		for i := range 500 { // writes, for which there is no primary
-			d.Take(rules.RPC{ID: rules.RPCID(i + 1), Method: 1, Group: rules.GroupID(i % (n / 20)), Left: int64(time.Second)})
+			held.Take(rules.RPC{ID: rules.RPCID(i + 1), Method: 1, Group: rules.GroupID(i % (n / 20)), Left: int64(time.Second)})
 		}
-		lists = append(lists, least(21, func() { d.List(lines, true) }))
+		listing = append(listing, func() { held.List(lines, true) })
 	}
+	picks, lists := least(41, picking), least(21, listing)
 	t.Logf("members %v: picks %.0f ns, lists %.0f ns", sizes, picks, lists)
 	for i, n := range sizes[1:] {
 		most := math.Pow(float64(n)/float64(sizes[0]), 1.5) // halfway between in step and with the square
--- a/rules/state.go
+++ b/rules/state.go
@@ -26,24 +26,24 @@
 	free    []member // places of members that were dropped
 }
 
-// sightings are the positions and roles seen. Times are 0 for never, here and below.
-type sightings struct {
-	store                        Store
-	interval, due, rarest        int64   // the estimate's; when positions are old; most between own probes
-	pos, learned, demoted, least []int64 // least: of its age as primary
-	role                         []Role
-	missed                       []bool // turned its last read away
-	crew                         Crew
-	told                         int64 // when the last news went to the fellow drivers
-	telling                      bool
-	untold                       []bool
-	answered                     []int64 // answer time not yet told
-	erred                        []bool  // and whether the last answer was an error
+// observations are the positions and roles observed. Times are 0 for never, here and below.
+type observations struct {
+	store                 Store
+	clock                 storeClock
+	interval, due, rarest int64          // the estimate's; when positions are old; most between own probes
+	known                 []replicaState // of each member
+	crew                  Crew
+	told                  int64 // when the last news went to the fellow drivers
+	telling               bool
+	untold                []bool
+	answered              []int64 // answer time not yet told
+	erred                 []bool  // and whether the last answer was an error
 }
 
 // health is how members answer this driver.
 type health struct {
 	heard, asking, aside []int64   // last answer; the unanswered probe's time; set aside until
+	lookedAt             []int64   // when its last probe ended
 	silent, back         []bool    // does not answer; on a trickle that doubles
 	out, lost, refused   []int     // attempts out, and those lost and refused in a row
 	first                float64   // room before answers teach better
@@ -58,9 +58,11 @@
 // thawing is the budget of members that have just started.
 type thawing struct {
 	Thaw
-	started, fed, borne []int64 // fed: when the last lot was drawn; borne: RPCs that were ok
-	listing, guessed    []int64 // start by the list; when a silence began that is taken for a restart
-	opened              []int64 // when the connection was that its last answer came on
+	fed, borne []int64 // fed: when the last lot was drawn; borne: RPCs that were ok
+	listing    []int64 // start by the list, on the store's clock
+	restarted  []int64 // start by a silence that is taken for a restart, on the driver's clock
+	guessed    []int64 // when that silence began
+	opened     []int64 // when the connection was that its last answer came on
 }
 
 type group struct {
@@ -93,12 +95,19 @@
 	lot                  float64 // drawn once, for whether it may go to a strained primary
 }
 
+// picking is the memory that picks use one after another.
+type picking struct {
+	passers, unknown []member
+	costs, lots      []float64
+}
+
 // Driver decides for one instance.
 type Driver struct {
 	roster
-	sightings
+	observations
 	health
 	thawing
+	picking       picking
 	spare         float64 // further attempts that may be made now
 	success       float64 // share of recent further attempts that were ok
 	host          Host
@@ -125,11 +134,10 @@
 	blank(m, &d.of)
 	blank(m, &d.zone)
 	blank(m, &d.state)
-	blank(m, &d.role)
-	blank(m, &d.started, &d.pos, &d.learned, &d.demoted, &d.least, &d.heard, &d.asking, &d.aside, &d.fed,
-		&d.answered, &d.timed, &d.borne, &d.since, &d.wrong,
-		&d.listing, &d.guessed, &d.opened)
-	blank(m, &d.silent, &d.back, &d.untold, &d.missed, &d.kept, &d.erred)
+	blank(m, &d.known)
+	blank(m, &d.heard, &d.asking, &d.lookedAt, &d.aside, &d.fed, &d.answered, &d.timed, &d.borne, &d.since, &d.wrong,
+		&d.listing, &d.restarted, &d.guessed, &d.opened)
+	blank(m, &d.silent, &d.back, &d.untold, &d.kept, &d.erred)
 	blank(m, &d.out, &d.lost, &d.refused)
 	blank(m, &d.room, &d.took, &d.strain, &d.size, &d.errors)
 	return m
@@ -168,7 +176,7 @@
 	return known && d.met(m)
 }
 
-func (d *Driver) met(m member) bool { return d.heard[m] != 0 || d.learned[m] != 0 }
+func (d *Driver) met(m member) bool { return d.heard[m] != 0 || d.known[m].learned != 0 }
 
 // many tells whether this is one of so many drivers that it sees little of a member by itself.
 func (d *Driver) many() bool { return d.first <= 1 }
@@ -185,11 +193,11 @@
 // position or past it.
 func (d *Driver) Reached(id GroupID, position int64) bool {
 	g := d.groups[id]
-	if g == nil || g.primary == nobody || d.silent[g.primary] || d.pos[g.primary] < position {
+	if g == nil || g.primary == nobody || d.silent[g.primary] || d.known[g.primary].position < position {
 		return false
 	}
 	for _, m := range g.members {
-		if d.state[m] == Healthy && !d.silent[m] && d.pos[m] < position {
+		if d.state[m] == Healthy && !d.silent[m] && d.known[m].position < position {
 			return false
 		}
 	}
@@ -214,10 +222,7 @@
 	if g.primary == m {
 		g.primary = nobody
 	}
-	g.newest = 0
-	for _, o := range g.members {
-		g.newest = max(g.newest, d.pos[o])
-	}
+	g.newest = d.newest(g)
 	d.kept[m] = false
 	d.keeping--
 	delete(d.index, d.ids[m])
@@ -234,7 +239,7 @@
 		d.groups[l.Group] = g
 	}
 	d.index[l.Member] = m
-	d.ids[m], d.of[m], d.zone[m], d.state[m], d.started[m] = l.Member, g, l.Zone, l.State, l.Started
+	d.ids[m], d.of[m], d.zone[m], d.state[m] = l.Member, g, l.Zone, l.State
 	d.room[m], d.took[m], d.size[m] = room, g.took, 1
 	return m
 }
@@ -292,4 +297,12 @@
 	}
 }
 
+// upTo draws a span below another, 0 where that is none.
+func (d *Driver) upTo(span int64) int64 {
+	if span <= 0 {
+		return 0
+	}
+	return d.rng.Int63n(span)
+}
+
 func (d *Driver) logf(format string, args ...any) { d.host.Log(fmt.Sprintf(format, args...)) }
