Freshness soak: roles change hands, members hang, lag, break off answers, drivers are held up

Two drivers as processes on real connections, a replicated group as stand-in that keeps its own record of each read and judges by it alone. Drawn by seed: handovers and hangs with reports that lag, replicas that lag, answers and connection starts that say what the member is and then break off, close or pause, drivers stopped for 130 ms, gossip that gets lost, one driver of which the clock was off at its start by 4 s to an hour.

--- /dev/null
+++ b/internal/program/freshness_soak_test.go
@@ -0,0 +1,197 @@
+package program_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/clock"
+)
+
+// soakSeeds names the variable by which more seeds are played by hand, as "1-50".
+const soakSeeds = "SEDGESPREAD_SOAK_SEEDS"
+
+// TestFreshnessSoak guards against reads answered from data older than their bound while roles change hands, members hang, lag and break off
+// their answers, links between drivers lose gossip and clocks are off. Two drivers at work on real connections, seeded; the store's own
+// record is the judge.
+func TestFreshnessSoak(t *testing.T) {
+	first, last := 2, 6
+	if text := os.Getenv(soakSeeds); text != "" {
+		_, err := fmt.Sscanf(text, "%d-%d", &first, &last)
+		require.NoError(t, err)
+	}
+	for seed := first; seed <= last; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, int64(seed))
+		})
+	}
+}
+
+const (
+	soakFor = 9 * time.Second
+	heldUp  = 130 * time.Millisecond // a driver, by its machine; the rule grants 150
+)
+
+func soak(t *testing.T, seed int64) {
+	s := newStore(t, seed, 3)
+	stands := make([]*member, len(s.members))
+	for i, r := range s.members {
+		stands[i] = r.member
+	}
+	d := newDiscovery(t, stands...)
+	gossip := newGossip(t, 2)
+	var logs []*output
+	var processes []*os.Process
+	var clients sync.WaitGroup
+	var done atomic.Bool
+	for i := range 2 {
+		env := posting(t, d, func(file map[string]any) {
+			bounded(file)
+			if seed%2 == 0 {
+				gossip.join(file, i)
+			}
+		})
+		if i == 1 && seed%3 == 0 { // its machine's clock was wrong when it started
+			env[clock.Off] = []string{"-1h", "7s", "1h", "-4s"}[seed/3%4]
+		}
+		cmd, stderr := command(t, env)
+		require.NoError(t, cmd.Start())
+		logs, processes = append(logs, stderr), append(processes, cmd.Process)
+		v := &driver{address: env["GW_LISTEN"]}
+		require.Equal(t, "empty", v.client(t).ask(t, ""))
+		for n := range 4 {
+			c := v.client(t)
+			c.SetDeadline(time.Now().Add(soakFor + soon))
+			clients.Go(func() {
+				for turn := n; !done.Load(); turn++ {
+					s.client(c.ask(t, statement(map[bool]string{true: "write", false: "read"}[turn%4 == 0], 350)))
+					time.Sleep(time.Duration(2+turn%9) * time.Millisecond)
+				}
+			})
+		}
+	}
+	for begun := time.Now(); time.Since(begun) < soakFor; {
+		s.trouble(processes)
+	}
+	done.Store(true)
+	clients.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.broken) > 0 {
+		t.Errorf("seed %d: %d reads, the first: %s\n%s\n%s", seed, len(s.broken), strings.Join(s.broken[:min(5, len(s.broken))], "\n"), logs[0], logs[1])
+	}
+	t.Logf("seed %d: %d reads served", seed, s.served)
+	require.Greater(t, s.served, 400, "reads served in all")
+}
+
+// client takes in what a client got.
+func (s *store) client(answer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if strings.HasPrefix(answer, "from") {
+		s.served++
+	}
+}
+
+// trouble plays one of the troubles that a group may have, and gives it some quiet time.
+func (s *store) trouble(drivers []*os.Process) {
+	s.mu.Lock()
+	kind, breaks := s.rng.Intn(5), s.rng.Intn(6)
+	span := func(low, high int) time.Duration { return time.Duration(low+s.rng.Intn(high-low)) * time.Millisecond }
+	hang, handover, election, lag, quiet := span(300, 1200), span(0, 300), span(200, 1200), span(600, 2500), span(200, 700)
+	successor, lagging := s.members[s.rng.Intn(len(s.members))], s.members[s.rng.Intn(len(s.members))]
+	s.mu.Unlock()
+	switch kind {
+	case 0, 1: // the primary hands over, or hangs and is deposed, and says so when it has
+		former, tell := s.depose()
+		s.mu.Lock()
+		former.breaks = breaks
+		if kind == 1 {
+			former.hangsTill = time.Now().Add(hang)
+			handover = hang * time.Duration(s.rng.Intn(3)) / 2
+		}
+		s.mu.Unlock()
+		time.Sleep(handover)
+		tell()
+		time.Sleep(election)
+		s.elect(successor)
+	case 2: // a replica lags
+		s.mu.Lock()
+		lagging.lag = lag
+		s.mu.Unlock()
+		time.Sleep(lag / 2)
+		s.mu.Lock()
+		lagging.lag = 5 * time.Millisecond
+		s.mu.Unlock()
+	case 3: // answers break off
+		s.mu.Lock()
+		lagging.breaks = 3 * breaks
+		s.mu.Unlock()
+	case 4: // drivers are held up
+		for range 3 * breaks {
+			for _, driver := range drivers {
+				driver.Signal(syscall.SIGSTOP)
+			}
+			time.Sleep(heldUp)
+			for _, driver := range drivers {
+				driver.Signal(syscall.SIGCONT)
+			}
+			time.Sleep(quiet / 10)
+		}
+	}
+	time.Sleep(quiet)
+}
+
+// gossipLink passes on what one driver tells all, and loses some of it.
+type gossipLink struct {
+	link    net.PacketConn
+	drivers []string
+}
+
+func newGossip(t *testing.T, drivers int) *gossipLink {
+	link, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { link.Close() })
+	g := &gossipLink{link: link}
+	for range drivers {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		g.drivers = append(g.drivers, socket.LocalAddr().String())
+		socket.Close()
+	}
+	go g.pass()
+	return g
+}
+
+// join makes a posting that of one of its drivers.
+func (g *gossipLink) join(file map[string]any, driver int) {
+	file["peer_listen"], file["peers_all"] = g.drivers[driver], g.link.LocalAddr().String()
+	settings := file["settings"].(map[string]any)
+	settings["fleetSize"] = len(g.drivers)
+	settings["limits"].(map[string]any)["peerMessages"] = true
+}
+
+func (g *gossipLink) pass() {
+	message := make([]byte, 512)
+	for count := 0; ; count++ {
+		n, _, err := g.link.ReadFrom(message)
+		if err != nil {
+			return
+		}
+		for i, driver := range g.drivers {
+			to, err := net.ResolveUDPAddr("udp", driver)
+			if err == nil && (count+i)%5 != 0 {
+				g.link.WriteTo(message[:n], to)
+			}
+		}
+	}
+}
