A primary is asked up to four times for a read, and the store's clock is learned anew

A read that waits for word of its primary has asks of its own, four over 0.3 s, since reports may lag by that; it shared two with looks at replicas. The least lead of positions is that of the last 30 to 60 s, lest a store's clock that was set back keep claims from being believed; gossip and starts in the list are read by the time around which positions stand.

--- a/rules/freshness.go
+++ b/rules/freshness.go
@@ -5,7 +5,8 @@
 const (
 	roleTrusted = 500 * ms // a primary that was heard to be one within this time gets reads as one
 	soonestLook = 50 * ms  // between two rounds of a member's own probes
-	looksApart  = 100 * ms // between two probes by which a primary is asked whether it still is one
+	looksApart  = 90 * ms  // between two probes by which a primary is asked whether it still is one
+	mostAsks    = 4        // such probes for one read, over 0.3 s, by which reports may lag
 )
 
 // basis says why a member may answer a read, or that it may not.
@@ -54,7 +55,7 @@
 	if d.confirmed(m) {
 		return asPrimary
 	}
-	if !d.allowed.Probes || c.looks >= mostLooks {
+	if !d.allowed.Probes || c.asks >= mostAsks {
 		return asClaimed
 	}
 	return noBasis
@@ -114,7 +115,7 @@
 // confirm asks a primary whether it still is one, for a read that waits for that.
 func (d *Driver) confirm(m member, c *call) {
 	if d.asking[m] == 0 && d.host.Now()-d.lookedAt[m] >= looksApart {
-		c.looks++
+		c.asks++
 		d.probe(m)
 	}
 }
--- a/rules/observations.go
+++ b/rules/observations.go
@@ -164,8 +164,8 @@
 	return position
 }
 
-// StoreNow is the time by the clock that positions count by, as far as can be told.
-func (d *Driver) StoreNow() int64 { return d.clock.at(d.host.Now()) }
+// StoreNow is the time by the clock that positions count by, more or less.
+func (d *Driver) StoreNow() int64 { return d.clock.around(d.host.Now()) }
 
 // Denied hears that a member has said that it is no primary where nothing else of what it said may be relied on: before an answer that may yet
 // break off, or at the start of a connection. It counts from then on.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -449,7 +449,8 @@
 	if d.listing[m] == 0 {
 		return d.restarted[m]
 	}
-	return max(d.clock.from(d.listing[m]), d.restarted[m])
+	now := d.host.Now()
+	return max(d.listing[m]-d.clock.around(now)+now, d.restarted[m])
 }
 
 // May tells whether an attempt that was made may still begin: it is asked just before its first byte is
--- a/rules/state.go
+++ b/rules/state.go
@@ -92,6 +92,7 @@
 	reached              bool   // a member got an attempt for it
 	looked               member // the replica probed for it last
 	looks                int
+	asks                 int     // probes by which the primary was asked for it whether it still is one
 	lot                  float64 // drawn once, for whether it may go to a strained primary
 }
 
--- a/rules/store_clock.go
+++ b/rules/store_clock.go
@@ -6,7 +6,8 @@
 	clockTolerance = 10 * ms // positions are whole milliseconds, rounded either way, and answers come at once
 	clockAhead     = sec     // a driver's clock that is less ahead of the store's than this is taken for right
 	boundsKept     = 8       // statements of primaries that the bound is taken from
-	doubtsNeeded   = 3       // positions from the future in a row that put the clock in doubt; fewer are taken for spoilt
+	windowLength   = 30 * sec
+	doubtsNeeded   = 3 // positions from the future in a row that put the clock in doubt; fewer are taken for spoilt
 )
 
 // storeClock relates the clock that members' positions count by to this driver's own, which never steps but may have been wrong when the
@@ -14,8 +15,9 @@
 // a position from the future, or nothing but positions from long ago, show otherwise. Then the offset is bounded by what is certain: no
 // position is later than now by the store's clock, and a primary that answers stands at it.
 type storeClock struct {
-	least  int64 // the store's clock is ahead of the driver's by so much at the least, by any position
-	heard  bool  // any position
+	least  int64 // the store's clock is ahead of the driver's by so much at the least, by the positions of this window and the last
+	recent int64 // the same by those of this window
+	window int64 // when it began, 0 before any position was heard
 	doubts int   // positions in a row that were later than what was known allows
 	bounds []int64
 	oldest int   // of bounds, the newest of the upper bounds on the same
@@ -31,8 +33,13 @@
 	} else if c.doubts++; c.doubts < doubtsNeeded {
 		return
 	}
-	if !c.heard || lead > c.least {
-		c.least, c.heard = lead, true
+	switch {
+	case c.window == 0:
+		c.least, c.recent, c.window = lead, lead, heard
+	case heard-c.window > windowLength: // what was set back since is forgotten
+		c.least, c.recent, c.window = max(lead, c.recent), lead, heard
+	default:
+		c.least, c.recent = max(c.least, lead), max(c.recent, lead)
 	}
 	if c.doubts > 0 { // what was bounded before does not hold any more
 		c.bounds, c.oldest = c.bounds[:0], 0
@@ -44,8 +51,8 @@
 // contradicts was a lie, or from before the members' clock was set back.
 func (c *storeClock) notePrimary(position, asked, heard int64) {
 	bound := position + ms - asked
-	if c.heard && bound < c.least {
-		c.least = position - heard
+	if c.window != 0 && bound < c.least {
+		c.least, c.recent = position-heard, position-heard
 	}
 	if len(c.bounds) < boundsKept {
 		c.bounds = append(c.bounds, bound)
@@ -73,6 +80,15 @@
 // offset is by how much the store's clock is ahead of the driver's at the most, and whether that is known.
 func (c *storeClock) offset() (ahead int64, known bool) { return c.ahead, !c.unsure }
 
+// around is the time by the store's clock more or less, also where the driver's is ahead and primaries are yet to bear that out. Where no
+// position moves it falls behind.
+func (c *storeClock) around(now int64) int64 {
+	if c.ahead != 0 || c.window == 0 || c.least > -clockAhead {
+		return c.at(now)
+	}
+	return now + c.least
+}
+
 // at converts a time of the driver's clock to the store's, as late as it may be there.
 func (c *storeClock) at(now int64) int64 { return now + c.ahead }
 
