--- a/internal/program/store_test.go
+++ b/internal/program/store_test.go
@@ -35,11 +35,13 @@
 	reports  bool          // and so does its load report, which is made anew now and then
 	reportAt time.Time     // the position in it
 
-	reportMade time.Time
-	hangsTill  time.Time // it takes statements and answers them later; it answers probes all the same
-	breaks     int       // what it does with the next answers: 0 for whole ones
-	hasLed     bool      // it has been primary
-	toldAt     time.Time // when it first wrote since that it is none; the zero time where it did not
+	reportMade  time.Time
+	reportsTill time.Time                                  // none is made anew before
+	speaks      func(s *stream, says string) (goesOn bool) // how it answers the next statement; nil for as usual
+	hangsTill   time.Time                                  // it takes statements and answers them later; it answers probes all the same
+	breaks      int                                        // what it does with the next answers: 0 for whole ones
+	hasLed      bool                                       // it has been primary
+	toldAt      time.Time                                  // when it first wrote since that it is none; the zero time where it did not
 }
 
 // Ways in which an answer, or the start of a connection, goes wrong.
@@ -104,7 +106,7 @@
 		if upTo.After(r.applied) {
 			r.applied = upTo
 		}
-		if now.Sub(r.reportMade) >= reportEvery && now.After(r.hangsTill) {
+		if now.Sub(r.reportMade) >= reportEvery && now.After(r.hangsTill) && now.After(r.reportsTill) {
 			r.reportMade, r.reportAt, r.reports = now, r.applied, r.claims
 		}
 	}
@@ -188,6 +190,14 @@
 	}
 }
 
+// lastWord is how it answers the next statement, once.
+func (r *replica) lastWord() (speak func(s *stream, says string) bool) {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	speak, r.speaks = r.speaks, nil
+	return speak
+}
+
 // answer answers a client's statement, and tells whether its connection goes on.
 func (r *replica) answer(s *stream, write bool) bool {
 	r.store.mu.Lock()
@@ -196,6 +206,9 @@
 	r.store.mu.Unlock()
 	time.Sleep(max(0, hangs) + works)
 	how, says := r.next(), r.says()
+	if speak := r.lastWord(); speak != nil {
+		return speak(s, says)
+	}
 	r.store.mu.Lock()
 	leads := r.claims && r.store.primary == r
 	r.store.mu.Unlock()
