--- a/rules/observations.go
+++ b/rules/observations.go
@@ -14,6 +14,9 @@
 // rounding is by how much two positions of one moment may differ: the commit of a write is rounded up, what is applied is rounded down.
 const rounding = 2 * ms
 
+// handover is how long a member that turned a write away, or said that it is none, is not believed to be primary again.
+const handover = 200 * ms
+
 // replicaState is what is known of one member's role and log position.
 //
 // Which statement supersedes which is decided by when they were made, never by the position beside a role: while a group has no primary no
