Trial of the audit: writes long after a change are looked for in the counts, and all trails are waited for

Seen: a trail enters a write by itself only within 5 s of a change of version and counts later ones (Trail.Ended); the trial looked for each by itself. The trial also gave drivers a fixed 3 s to tell what was left, 64 entries at a time, which a busy machine may not keep. Ruled out: entries dropped (512 between two flushes), holes (faults and unknown spans 0).

Each write must stand by itself, or come over 5 s after its version was first acted on and be covered by a count of that version that nothing else uses. The trial waits until the voters hold every driver's trail past the end, 20 leases at most, and names some of what is missing. The planted fault of the audit is still found.

The comparison stands in a file of its own.

--- a/internal/emulator/trials/trials_test.go
+++ b/internal/emulator/trials/trials_test.go
@@ -175,7 +175,8 @@
 	require.Zero(t, r.Turned, "what a sound driver sends is never turned away")
 	// The lease was asked for last by a quarter of it, for which an answer may wait, before the cut at the earliest.
 	require.Greater(t, r.Took50, 700*time.Millisecond, "the version waits for the lease")
-	require.Equal(t, AuditResult{Writes: r.Audit.Writes, Right: r.Audit.Writes, Entries: r.Audit.Entries}, r.Audit)
+	require.Equal(t, AuditResult{Writes: r.Audit.Writes, Right: r.Audit.Writes - r.Audit.Counted, Counted: r.Audit.Counted, Entries: r.Audit.Entries}, r.Audit,
+		"each write stands in the audit, by itself unless it came long after a change")
 	unfenced := 0
 	for fault, found := range map[string]func(r *VersionsResult) bool{
 		"lease":     func(r *VersionsResult) bool { return r.Old > 0 },
--- a/internal/emulator/trials/versions.go
+++ b/internal/emulator/trials/versions.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"sedgespread/internal/audit"
 	"sedgespread/internal/emulator"
 	"sedgespread/internal/emulator/links"
 	"sedgespread/internal/emulator/links/relays"
@@ -68,19 +67,6 @@
 	Audit                    AuditResult
 }
 
-// AuditResult is how what the audit says of writes compares with what members got.
-type AuditResult struct {
-	Writes  int // that members got with a version
-	Right   int // that stand in the audit at that version
-	Wrong   int // that stand there at another
-	Unknown int // that do not, of a time of which the audit says that it is unknown
-	Missing int // that do not
-	Entries int
-	Late    int // acts that the audit itself finds after a closing
-	Faults  []string
-	Spans   int // of unknown time
-}
-
 // changing is a trial at work.
 type changing struct {
 	*Versions
@@ -211,54 +197,6 @@
 	return c.finish(), nil
 }
 
-// audit asks the audit once drivers have told all, and compares it with what members got.
-func (c *changing) audit(ctx context.Context) error {
-	if !relays.Sleep(ctx, 3*c.Lease) {
-		return ctx.Err()
-	}
-	f, err := membership.Audit(ctx, c.at, membership.Question{Thing: routing.Rulebook, Clocks: int64(10 * time.Millisecond)})
-	if err != nil {
-		return err
-	}
-	parts := membership.Parts(ctx, c.at)
-	r := &c.result.Audit
-	r.Entries, r.Late, r.Faults, r.Spans = f.Entries, len(f.Late), f.Faults, len(f.Unknown)
-	stands := map[string]uint64{}
-	for _, p := range parts {
-		for _, e := range p.Entries {
-			if e.Kind == audit.Single {
-				stands[e.RPC] = uint64(e.Version)
-			}
-		}
-	}
-	got := map[string]emulator.UnderFence{}
-	for _, fenced := range c.n.Fleet.Fenced() {
-		if fenced.Write && !fenced.Turned {
-			got[fenced.RPC] = fenced
-		}
-	}
-	for id, fenced := range got {
-		version, there := stands[id]
-		switch {
-		case there && version == fenced.Fence:
-			r.Right++
-		case there:
-			r.Wrong++
-		case slices.ContainsFunc(f.Unknown, func(u audit.Unknown) bool {
-			return u.From-int64(unknownBefore) <= fenced.At && fenced.At <= u.To
-		}):
-			r.Unknown++
-		default:
-			r.Missing++
-		}
-	}
-	r.Writes = len(got)
-	return nil
-}
-
-// unknownBefore is how long before a start's last entry an RPC may have reached a member that would be entered after it.
-const unknownBefore = 2500 * time.Millisecond // all that its client waits, and what it may be late
-
 // faults are the troubles of drivers and voters.
 func (c *changing) faults() []fault {
 	short := func() time.Duration { return time.Duration((0.2 + 2*c.chance.float()) * float64(c.Lease)) }
@@ -629,8 +567,8 @@
 	rows = append(rows, [][]string{
 		{"audit: entries, faults in trails, spans of unknown time", fmt.Sprintf("%d, %d, %d", a.Entries, len(a.Faults), a.Spans)},
 		{"audit: acts that it finds under a version after a newer one was closed", fmt.Sprint(a.Late)},
-		{"audit: writes that members got; there at their version, at another, in unknown time, missing", fmt.Sprintf("%d; %d, %d, %d, %d", a.Writes,
-			a.Right, a.Wrong, a.Unknown, a.Missing)},
+		{"audit: writes that members got; there at their version, counted there, at another, in unknown time, missing",
+			fmt.Sprintf("%d; %d, %d, %d, %d, %d", a.Writes, a.Right, a.Counted, a.Wrong, a.Unknown, a.Missing)},
 	}...)
 	rows = append(rows, breachRows(r.Breaches)...)
 	return table([]string{"what", "figure"}, append(rows, faultRows(r.Faults)...))
--- a/internal/routing/versioned.go
+++ b/internal/routing/versioned.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"sedgespread/internal/audit"
@@ -20,10 +22,12 @@
 	r.holder = h
 }
 
-// Of a trail: entries that are kept, for how long after a change single RPCs are entered, and how often spans are.
+// NearChange is for how long after a change of version RPCs with an effect are entered one by one; later ones are counted.
+const NearChange = 5 * time.Second
+
+// Of a trail: entries that are kept, and how often spans are entered.
 const (
 	mostEntries = 8192
-	nearChange  = 5 * 1000 * milli
 	flushEvery  = 250 * milli
 )
 
@@ -32,7 +36,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.trail == nil {
-		r.trail = audit.NewTrail(r.now(), who, token, mostEntries, nearChange)
+		r.trail = audit.NewTrail(r.now(), who, token, mostEntries, int64(NearChange))
 		for _, s := range r.holder.Sightings() {
 			if s.Digest != "" {
 				r.trail.Has(r.now(), s.Thing, s.Acts)
