--- a/internal/briefing/news.go
+++ b/internal/briefing/news.go
@@ -25,7 +25,7 @@
 	for _, n := range told {
 		if id, known := member(n.Member); known {
 			news = append(news, rules.News{Member: id, Took: nanos(n.Took), Failed: n.Failed, Ran: n.Ran * int64(time.Second),
-				Sighting: rules.Sighting{Role: rules.Role(n.Role), Position: epoch + nanos(n.Position)}})
+				Observation: rules.Observation{Role: rules.Role(n.Role), Position: epoch + nanos(n.Position)}})
 		}
 	}
 	return news, ok
--- a/internal/briefing/start.go
+++ b/internal/briefing/start.go
@@ -46,8 +46,8 @@
 	return methods
 }
 
-func (p *Parts) Crew() rules.Crew {
-	c := rules.Crew{Drivers: int(p.IntegerOr("fleetSize", 1))}
+func (p *Parts) Fleet() rules.Fleet {
+	c := rules.Fleet{Drivers: int(p.IntegerOr("fleetSize", 1))}
 	if c.Drivers < 1 {
 		p.Wrong("fleetSize=%d is out of range", c.Drivers)
 	}
@@ -77,8 +77,8 @@
 	return a
 }
 
-func (p *Parts) Thaw() rules.Thaw {
-	return rules.Thaw{
+func (p *Parts) SlowStart() rules.SlowStart {
+	return rules.SlowStart{
 		Share:     p.NumberOr("safety.startCapacity", 1),
 		WarmAfter: p.Time("safety.warmAfterUs"),
 		Multiple:  p.NumberOr("safety.fallMultiple", 1),
@@ -93,8 +93,8 @@
 	}
 }
 
-// Sighting reads what a load report shows of its member. Positions count from epoch.
-func (p *Parts) Sighting(epoch int64) (s rules.Sighting) {
+// Observation reads what a load report shows of its member. Positions count from epoch.
+func (p *Parts) Observation(epoch int64) (s rules.Observation) {
 	if _, ok := p.Get("x0"); !ok {
 		return s
 	}
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -92,24 +92,24 @@
 	case transport.NoDescriptor:
 		return rules.ProbeResult{Cause: rules.Moot}
 	}
-	return rules.ProbeResult{Cause: o.verdict().cause, Report: o.reported(), Sighting: o.sighting()}
+	return rules.ProbeResult{Cause: o.verdict().cause, Report: o.reported(), Observation: o.observation()}
 }
 
 // reported is what a probe's load report shows.
-func (o Outcome) reported() (s rules.Sighting) {
+func (o Outcome) reported() (s rules.Observation) {
 	if o.Answer == nil || o.Answer.Failure != nil {
 		return s
 	}
 	var load briefing.Parts
 	load.Parse("report,"+o.Answer.Text(), ",", "=")
-	if reported := load.Sighting(0); load.Err == nil {
+	if reported := load.Observation(0); load.Err == nil {
 		s = reported
 	}
 	return s
 }
 
-// sighting is what an answer shows of its member.
-func (o Outcome) sighting() (s rules.Sighting) {
+// observation is what an answer shows of its member.
+func (o Outcome) observation() (s rules.Observation) {
 	if o.Answer == nil {
 		return s
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -62,7 +62,7 @@
 	for i, m := range r.methods {
 		r.numbers[m.Name] = rules.MethodID(i)
 	}
-	crew, store, allowed, thaw, notice := told.Crew(), told.Store(), told.Allowed(), told.Thaw(), told.Notice()
+	fleet, store, allowed, slowStart, notice := told.Fleet(), told.Store(), told.Allowed(), told.SlowStart(), told.Notice()
 	if told.Err != nil {
 		return nil, told.Err
 	}
@@ -71,7 +71,7 @@
 	notice.Agent, notice.Asked = !notice.Asked, true // a list that is pushed is pushed to an agent, which is asked
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.driver = rules.New((*host)(r), seed, r.methods, crew, store, allowed, thaw, notice)
+	r.driver = rules.New((*host)(r), seed, r.methods, fleet, store, allowed, slowStart, notice)
 	r.list(known)
 	return r, nil
 }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -226,7 +226,7 @@
 	defer r.mu.Unlock()
 	before := len(r.duties)
 	tell := func(age time.Duration) {
-		(*host)(r).Tell([]rules.News{{Member: 1, Sighting: rules.Sighting{Role: rules.RoleReplica, Position: r.now() - int64(age)}}})
+		(*host)(r).Tell([]rules.News{{Member: 1, Observation: rules.Observation{Role: rules.RoleReplica, Position: r.now() - int64(age)}}})
 	}
 	tell(40 * time.Second)
 	require.Len(t, r.duties, before)
--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -202,7 +202,7 @@
 	if t.pass != nil && o.fenced() {
 		t.fenced()
 	}
-	result := rules.Result{Proof: v.proof, Cause: v.cause, Took: t.r.now() - c.sent, Final: t.ended, Sighting: o.sighting()}
+	result := rules.Result{Proof: v.proof, Cause: v.cause, Took: t.r.now() - c.sent, Final: t.ended, Observation: o.observation()}
 	result.Opened = t.r.at(o.Opened)
 	t.r.trace.printf("attempt ended id=%s number=%d member=%d took_ms=%d end=%q proof=%q role=%s position=%d",
 		t.name, number, c.to, result.Took/milli, o.End, proofNames[v.proof], roleNames[result.Role], result.Position/milli)
--- a/internal/simwire/line.go
+++ b/internal/simwire/line.go
@@ -61,7 +61,7 @@
 	r := rules.ProbeResult{Cause: end.cause}
 	var load briefing.Parts
 	load.Parse("report,"+f.At("report"), ",", ":")
-	r.Report = load.Sighting(epoch)
+	r.Report = load.Observation(epoch)
 	if load.Err != nil && f.Err == nil {
 		f.Err = load.Err
 	}
--- a/internal/simwire/serve.go
+++ b/internal/simwire/serve.go
@@ -193,11 +193,11 @@
 		d.methods[m.Name] = rules.MethodID(i)
 	}
 	seed := f.Integer("salt")
-	crew, store, allowed, thaw, notice := f.Crew(), f.Store(), f.Allowed(), f.Thaw(), f.Notice()
+	fleet, store, allowed, slowStart, notice := f.Fleet(), f.Store(), f.Allowed(), f.SlowStart(), f.Notice()
 	if f.Err != nil {
 		return f.Err
 	}
-	d.Driver = rules.New(d, seed, methods, crew, store, allowed, thaw, notice)
+	d.Driver = rules.New(d, seed, methods, fleet, store, allowed, slowStart, notice)
 	w.drivers[d.who] = d
 	return nil
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -51,16 +51,16 @@
 	LateUtility  float64 // share of Utility after the soft deadline
 }
 
-// Crew is this driver among its fellows.
-type Crew struct {
+// Fleet is this driver among its peers.
+type Fleet struct {
 	Drivers int
-	News    int // sightings that one message to them holds, 0 where they cannot be told anything
+	News    int // observations that one message to them holds, 0 where they cannot be told anything
 }
 
 // News is what one driver tells its fellows of a member.
 type News struct {
 	Member MemberID
-	Sighting
+	Observation
 	Took   int64 // a recent answer time, 0 for none
 	Failed bool  // the last answer was an error
 	Ran    int64 // it has run for so long at least, by a connection that answered, 0 where not known
@@ -82,8 +82,8 @@
 	ComeBack int64 // longest time to come back that clients heed, 0 for none
 }
 
-// Thaw says how members warm up, and when a cold one falls over.
-type Thaw struct {
+// SlowStart says how members warm up, and when a cold one falls over.
+type SlowStart struct {
 	Share     float64 // of its capacity at its start, at least
 	WarmAfter int64
 	Multiple  float64 // sent more than this times what it can do for a while, it falls
@@ -139,8 +139,8 @@
 	RoleReplica
 )
 
-// Sighting is what an answer shows of its member.
-type Sighting struct {
+// Observation is what an answer shows of its member.
+type Observation struct {
 	Role     Role
 	Position int64 // on the driver's clock, 0 when not told
 	Opened   int64 // when the connection that it came on was opened, 0 when not known
@@ -177,14 +177,14 @@
 	Cause Cause
 	Took  int64
 	Final bool
-	Sighting
+	Observation
 }
 
 // ProbeResult is what a probe found. Cause is NoCause when it was answered.
 type ProbeResult struct {
-	Cause    Cause
-	Report   Sighting // what its load report says, made at an unknown time before
-	Sighting          // what the answer itself states
+	Cause       Cause
+	Report      Observation // what its load report says, made at an unknown time before
+	Observation             // what the answer itself states
 }
 
 // Host is what the module asks of whatever drives it. It keeps each closure and hands it the result.
--- a/rules/choice.go
+++ b/rules/choice.go
@@ -54,7 +54,7 @@
 			d.probe(m)
 			return nobody
 		}
-		if d.thawed(m) {
+		if d.admittedBySlowStart(m) {
 			return m
 		}
 		primary = primary && m != p
--- a/rules/cold_fleet_test.go
+++ b/rules/cold_fleet_test.go
@@ -92,16 +92,16 @@
 func (h *inFleet) PushBack(id rules.RPCID, _ int64) { delete(h.open, id) }
 func (h *inFleet) Abort(id rules.RPCID)             { delete(h.open, id) }
 
-func (h *inFleet) sighting(m rules.MemberID) rules.Sighting {
+func (h *inFleet) observation(m rules.MemberID) rules.Observation {
 	if m == 1 {
-		return rules.Sighting{Role: rules.RolePrimary, Position: h.now}
+		return rules.Observation{Role: rules.RolePrimary, Position: h.now}
 	}
-	return rules.Sighting{Role: rules.RoleReplica, Position: h.now - int64(5*time.Millisecond)}
+	return rules.Observation{Role: rules.RoleReplica, Position: h.now - int64(5*time.Millisecond)}
 }
 
 func (h *inFleet) Probe(to rules.MemberID, next func(rules.ProbeResult)) {
 	h.probes++
-	h.after(int64(time.Millisecond), func() { next(rules.ProbeResult{Report: h.sighting(to)}) })
+	h.after(int64(time.Millisecond), func() { next(rules.ProbeResult{Report: h.observation(to)}) })
 }
 
 func (h *inFleet) Tell(news []rules.News) {
@@ -116,12 +116,12 @@
 	if h.told && slices.Contains(h.cold, to) {
 		h.got[to] = append(h.got[to], h.now)
 	}
-	r := rules.Result{Proof: rules.OK, Final: true, Took: h.took, Sighting: h.sighting(to)}
+	r := rules.Result{Proof: rules.OK, Final: true, Took: h.took, Observation: h.observation(to)}
 	if h.rng.Float64() < h.failing {
 		r.Proof, r.Cause, r.Final = rules.MayHaveRun, rules.Errored, false
 	}
 	h.after(h.took, func() {
-		r.Sighting = h.sighting(to)
+		r.Observation = h.observation(to)
 		r.Final = r.Final || !h.open[id]
 		if r.Proof == rules.OK {
 			h.answered++
@@ -169,8 +169,8 @@
 			Deadline: int64(2 * time.Second), Utility: 5, LateUtility: 0.5},
 	}
 	h.open = map[rules.RPCID]bool{}
-	h.d = rules.New(h, h.rng.Int63(), methods, rules.Crew{Drivers: h.crew, News: 31}, rules.Store{},
-		rules.Allowed{Attempts: 10, Cancel: true, Probes: true}, rules.Thaw{Share: share, WarmAfter: int64(warm), Multiple: multiple}, rules.Notice{})
+	h.d = rules.New(h, h.rng.Int63(), methods, rules.Fleet{Drivers: h.crew, News: 31}, rules.Store{},
+		rules.Allowed{Attempts: 10, Cancel: true, Probes: true}, rules.SlowStart{Share: share, WarmAfter: int64(warm), Multiple: multiple}, rules.Notice{})
 	h.list(true)
 }
 
--- a/rules/gossip.go
+++ b/rules/gossip.go
@@ -9,24 +9,24 @@
 // tell passes on to the fellow drivers what was learned first-hand and they are likely not to know, at once
 // or when their number allows.
 func (d *Driver) tell(m member) {
-	d.untold[m] = d.crew.News > 0
+	d.untold[m] = d.fleet.News > 0
 	if d.telling || !d.untold[m] {
 		return
 	}
 	d.telling = true
-	crew := int64(d.crew.Drivers)
-	apart := min(newsRare*crew, max(newsApart*crew, int64(newsFor*d.gap)))
+	fleet := int64(d.fleet.Drivers)
+	apart := min(newsRare*fleet, max(newsApart*fleet, int64(newsFor*d.gap)))
 	d.host.After(d.told+max(d.interval, apart)-d.host.Now(), func() {
 		d.telling = false
 		var news []News
 		for m, untold := range d.untold {
 			d.untold[m] = false
-			if untold && len(news) < d.crew.News && d.host.Now()-d.known[m].learned < d.due {
+			if untold && len(news) < d.fleet.News && d.host.Now()-d.known[m].learned < d.due {
 				ran := int64(0)
 				if d.opened[m] != 0 {
 					ran = d.heard[m] - d.opened[m]
 				}
-				news = append(news, News{d.ids[m], Sighting{Role: d.known[m].role, Position: d.known[m].position}, d.answered[m],
+				news = append(news, News{d.ids[m], Observation{Role: d.known[m].role, Position: d.known[m].position}, d.answered[m],
 					d.erred[m], ran})
 				d.answered[m], d.erred[m] = 0, false
 			}
@@ -41,8 +41,8 @@
 // Told takes in a fellow driver's news. A position once true stays true, whoever saw it.
 func (d *Driver) Told(news []News) {
 	for _, n := range news {
-		if m, known := d.index[n.Member]; known && d.isNew(m, n.Sighting) {
-			d.observe(m, n.Sighting, byGossip, 0)
+		if m, known := d.index[n.Member]; known && d.isNew(m, n.Observation) {
+			d.observe(m, n.Observation, byGossip, 0)
 			d.untold[m] = false
 			if n.Took > 0 {
 				d.learn(m, float64(n.Took), d.soft)
@@ -60,7 +60,7 @@
 }
 
 // isNew tells whether a peer's word of a member says more than is known: a higher position, or another role at the same one.
-func (d *Driver) isNew(m member, s Sighting) bool {
+func (d *Driver) isNew(m member, s Observation) bool {
 	k := &d.known[m]
 	return s.Position > k.position || s.Role != k.role && s.Position+rounding >= k.position
 }
--- a/rules/health.go
+++ b/rules/health.go
@@ -50,7 +50,7 @@
 // observeResult takes in what the end of an attempt tells of its member's role: what it stated, that it turned away what only a primary takes,
 // or that its word may have been lost.
 func (d *Driver) observeResult(c *call, m member, r Result, sent int64) {
-	s := r.Sighting
+	s := r.Observation
 	if r.Cause == Missed && !c.isRead() {
 		s.Role = RoleReplica
 	}
--- a/rules/list.go
+++ b/rules/list.go
@@ -49,9 +49,9 @@
 // firstLook begins to probe a new member: the first driver to look tells the others. Where drivers tell
 // nothing each looks at once, but not at more than it may have connections: who is kept waiting seems silent.
 func (d *Driver) firstLook(m member) {
-	if d.crew.News > 0 {
+	if d.fleet.News > 0 {
 		apart := fewOrMany(d, ms, newcomers)
-		d.host.After(d.upTo(apart*int64(d.crew.Drivers)), func() { d.probeLoop(m) })
+		d.host.After(d.upTo(apart*int64(d.fleet.Drivers)), func() { d.probeLoop(m) })
 		return
 	}
 	now := d.host.Now()
--- a/rules/observations.go
+++ b/rules/observations.go
@@ -43,7 +43,7 @@
 }
 
 // observe takes in what was stated of a member's role and position. Asked is when the member was asked for it, where it was.
-func (d *Driver) observe(m member, s Sighting, by source, asked int64) {
+func (d *Driver) observe(m member, s Observation, by source, asked int64) {
 	if s.Role == RoleUnknown {
 		return
 	}
@@ -57,7 +57,7 @@
 }
 
 // observeClock relates the store's clock to the driver's by a position, but not by a peer's word, which is put into this driver's terms.
-func (d *Driver) observeClock(s Sighting, by source, asked int64) {
+func (d *Driver) observeClock(s Observation, by source, asked int64) {
 	if s.Position == 0 || by == byGossip {
 		return
 	}
@@ -76,7 +76,7 @@
 // observePosition takes in a position. A member's log only grows: a lower position is an older one, or one up to rounding the same, unless it
 // comes with an answer that was asked for after the known one was heard. Then the known one was wrong. Guards against positions that were
 // spoilt or put into the future, which would else stand for ever.
-func (d *Driver) observePosition(m member, s Sighting, by source, asked int64) {
+func (d *Driver) observePosition(m member, s Observation, by source, asked int64) {
 	now, k, g := d.host.Now(), &d.known[m], d.of[m]
 	if s.Position == 0 || !d.plausible(s.Position) {
 		return
--- a/rules/probing.go
+++ b/rules/probing.go
@@ -20,7 +20,7 @@
 	learned := d.known[m].learned
 	wait, age := min(d.rarest, max(2*d.due, int64(d.gap*float64(d.keeping)))), now-learned
 	enough := wait
-	if d.crew.News == 0 || !d.many() {
+	if d.fleet.News == 0 || !d.many() {
 		enough = min(wait, 2*d.due)
 	}
 	if d.here(m) && (d.silent[m] || learned == 0 || d.old(m) && age >= enough) {
@@ -62,10 +62,10 @@
 	if r.Cause == NoCause || r.Cause == Full || r.Cause == Errored { // whatever it answers it is alive
 		d.alive(m, r.Opened)
 		d.observe(m, r.Report, byReport, asked)
-		d.observe(m, r.Sighting, byAnswer, asked)
+		d.observe(m, r.Observation, byAnswer, asked)
 	} else if d.host.Now()-d.heard[m] >= hush { // else it lives, and only the probe's connection broke
 		d.hushed(m)
-		if d.crew.News == 0 { // look again soon: it may have stood still for a moment
+		if d.fleet.News == 0 { // look again soon: it may have stood still for a moment
 			d.host.After(max(d.due, d.host.Now()-d.since[m]), func() { d.probe(m) })
 		}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,12 +26,12 @@
 )
 
 // New makes a driver that knows nothing yet; the first List follows at once.
-func New(h Host, seed int64, methods []Method, crew Crew, store Store, allowed Allowed, thaw Thaw,
+func New(h Host, seed int64, methods []Method, fleet Fleet, store Store, allowed Allowed, slowStart SlowStart,
 	notice Notice) *Driver {
 	d := &Driver{host: h, rng: rand.New(rand.NewSource(seed)), methods: methods, allowed: allowed,
-		roster: roster{notice: notice}, observations: observations{store: store, crew: crew},
-		health:  health{first: max(1, firstRoom/float64(max(1, crew.Drivers)))},
-		thawing: thawing{Thaw: thaw}, spare: 5, success: 0.5, index: map[MemberID]member{},
+		roster: roster{notice: notice}, observations: observations{store: store, fleet: fleet},
+		health:  health{first: max(1, firstRoom/float64(max(1, fleet.Drivers)))},
+		warming: warming{SlowStart: slowStart}, spare: 5, success: 0.5, index: map[MemberID]member{},
 		groups: map[GroupID]*group{}, calls: map[RPCID]*call{}, tokens: map[string]int64{}}
 	half := rarestProbe // of the smallest bound
 	for _, m := range methods {
@@ -42,8 +42,8 @@
 	}
 	half = max(half, shortestProbe/2)
 	d.due = min(longestProbe, max(shortestProbe, half))
-	d.rarest = min(rarestProbe, d.due*int64(max(1, crew.Drivers/2)))
-	if crew.News == 0 { // else the fellow drivers' probes serve as well
+	d.rarest = min(rarestProbe, d.due*int64(max(1, fleet.Drivers/2)))
+	if fleet.News == 0 { // else the fellow drivers' probes serve as well
 		d.rarest = min(d.rarest, half)
 	}
 	d.interval, d.begun, d.taken, d.gap = d.due/2, h.Now(), h.Now(), float64(firstGap)
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -25,7 +25,7 @@
 			text, err := os.ReadFile(file)
 			require.NoError(t, err)
 			p := &player{t: t, now: int64(time.Hour), acts: map[int]string{}, rpcs: map[rules.RPCID]*seen{},
-				sent: map[int]int{}, crew: rules.Crew{Drivers: 3}, allowed: rules.Allowed{Attempts: 6, Cancel: true, Probes: true}}
+				sent: map[int]int{}, fleet: rules.Fleet{Drivers: 3}, allowed: rules.Allowed{Attempts: 6, Cancel: true, Probes: true}}
 			for i, line := range strings.Split(string(text), "\n") {
 				p.at = fmt.Sprintf("%s:%d: %s", file, i+1, line)
 				for _, step := range strings.Split(line, ";") {
@@ -54,26 +54,26 @@
 
 // player is the host of one driver and plays the lines of one scenario.
 type player struct {
-	t       *testing.T
-	at      string
-	now     int64
-	d       *rules.Driver
-	timers  []timer
-	acts    map[int]string // what a member does with probes
-	rpcs    map[rules.RPCID]*seen
-	sent    map[int]int
-	probes  int
-	watches int
-	closes  int
-	forgot  int
-	told    []rules.News
-	tells   int
-	methods []rules.Method
-	crew    rules.Crew
-	store   rules.Store
-	allowed rules.Allowed
-	thaw    rules.Thaw
-	notice  rules.Notice
+	t         *testing.T
+	at        string
+	now       int64
+	d         *rules.Driver
+	timers    []timer
+	acts      map[int]string // what a member does with probes
+	rpcs      map[rules.RPCID]*seen
+	sent      map[int]int
+	probes    int
+	watches   int
+	closes    int
+	forgot    int
+	told      []rules.News
+	tells     int
+	methods   []rules.Method
+	fleet     rules.Fleet
+	store     rules.Store
+	allowed   rules.Allowed
+	slowStart rules.SlowStart
+	notice    rules.Notice
 }
 
 func (p *player) Now() int64 { return p.now }
@@ -124,15 +124,15 @@
 	case "down":
 		r.Cause = rules.NoConnect
 	default:
-		r.Report = p.sighting(words)
+		r.Report = p.observation(words)
 		r.Opened = r.Report.Opened
 	}
 	p.After(takes, func() { next(r) })
 }
 
-// sighting reads a role and how old the position is.
-func (p *player) sighting(words []string) rules.Sighting {
-	s := rules.Sighting{Role: map[string]rules.Role{"primary": rules.RolePrimary, "replica": rules.RoleReplica}[words[0]]}
+// observation reads a role and how old the position is.
+func (p *player) observation(words []string) rules.Observation {
+	s := rules.Observation{Role: map[string]rules.Role{"primary": rules.RolePrimary, "replica": rules.RoleReplica}[words[0]]}
 	require.NotZero(p.t, s.Role, p.at)
 	if len(words) > 1 {
 		s.Position = p.now - p.span(words[1])
@@ -194,7 +194,7 @@
 	case "flow":
 		p.flow(w[1:])
 	case "told":
-		n := rules.News{Member: rules.MemberID(p.number(w[1])), Sighting: p.sighting(w[2:])}
+		n := rules.News{Member: rules.MemberID(p.number(w[1])), Observation: p.observation(w[2:])}
 		if _, took, slow := strings.Cut(w[len(w)-1], "took="); slow {
 			n.Took = p.span(took)
 		}
@@ -256,11 +256,11 @@
 		case "drain-only":
 			p.notice.DrainOnly = true
 		case "news":
-			p.crew.News = p.number(value)
+			p.fleet.News = p.number(value)
 		case "crew":
-			p.crew.Drivers = p.number(value)
+			p.fleet.Drivers = p.number(value)
 		case "cold":
-			p.thaw = rules.Thaw{Share: 0.2, WarmAfter: p.span(value), Multiple: 2}
+			p.slowStart = rules.SlowStart{Share: 0.2, WarmAfter: p.span(value), Multiple: 2}
 		default:
 			require.Fail(p.t, p.at)
 		}
@@ -291,7 +291,7 @@
 		lines = append(lines, l)
 	}
 	if p.d == nil {
-		p.d = rules.New(p, 1, p.methods, p.crew, p.store, p.allowed, p.thaw, p.notice)
+		p.d = rules.New(p, 1, p.methods, p.fleet, p.store, p.allowed, p.slowStart, p.notice)
 	}
 	p.d.List(lines, w[0] == "whole")
 }
@@ -365,7 +365,7 @@
 	require.True(p.t, known, p.at)
 	r.Took = p.now - rpc.sentAt[n]
 	if len(w) > 2 {
-		r.Sighting = p.sighting(w[2:])
+		r.Observation = p.observation(w[2:])
 	}
 	next := rpc.next[n]
 	if r.Proof != rules.Started {
--- a/rules/sizes_test.go
+++ b/rules/sizes_test.go
@@ -39,11 +39,11 @@
 	methods := []rules.Method{{Name: "read", Need: rules.NeedBounded, Bound: sec, SoftDeadline: sec, Deadline: 2 * sec, Effect: rules.Idempotent, Utility: 1, LateUtility: 0.5},
 		{Name: "write", Need: rules.NeedPrimary, SoftDeadline: sec, Deadline: 2 * sec, Utility: 1, LateUtility: 0.5}}
 	h := &still{}
-	d = rules.New(h, 1, methods, rules.Crew{Drivers: 300, News: 20}, rules.Store{Guarded: true}, rules.Allowed{Probes: true, Attempts: 4, ComeBack: 1}, rules.Thaw{}, rules.Notice{})
+	d = rules.New(h, 1, methods, rules.Fleet{Drivers: 300, News: 20}, rules.Store{Guarded: true}, rules.Allowed{Probes: true, Attempts: 4, ComeBack: 1}, rules.SlowStart{}, rules.Notice{})
 	var news []rules.News
 	for m := range members {
 		lines = append(lines, rules.Listing{Member: rules.MemberID(m + 1), Group: rules.GroupID(m / group), State: rules.Healthy, Size: 1})
-		news = append(news, rules.News{Member: rules.MemberID(m + 1), Sighting: rules.Sighting{Role: rules.RoleReplica, Position: h.Now() - 1000 - int64(m)}, Took: 1_000_000})
+		news = append(news, rules.News{Member: rules.MemberID(m + 1), Observation: rules.Observation{Role: rules.RoleReplica, Position: h.Now() - 1000 - int64(m)}, Took: 1_000_000})
 	}
 	d.List(lines, true)
 	d.Told(news)
--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -4,10 +4,10 @@
 	savedUp = 2.0 // attempts of a group for which a cold member's share is saved up
 )
 
-// thawed keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, 0.7 with
+// admittedBySlowStart keeps a cold member's budget: 0.8 of the stated multiple of what it can do at the least, 0.7 with
 // many drivers, as a share of its driver's mean traffic a member. So it holds for all without agreement.
 // Lots are drawn, since the floors of many small budgets would add up, and nothing is saved up for long.
-func (d *Driver) thawed(m member) bool {
+func (d *Driver) admittedBySlowStart(m member) bool {
 	now := d.host.Now()
 	started := d.startOf(m)
 	age := now - started
--- a/rules/state.go
+++ b/rules/state.go
@@ -32,7 +32,7 @@
 	clock                 storeClock
 	interval, due, rarest int64          // the estimate's; when positions are old; most between own probes
 	known                 []replicaState // of each member
-	crew                  Crew
+	fleet                 Fleet
 	told                  int64 // when the last news went to the fellow drivers
 	telling               bool
 	untold                []bool
@@ -55,9 +55,9 @@
 	scarce               int64     // until when connections are
 }
 
-// thawing is the budget of members that have just started.
-type thawing struct {
-	Thaw
+// warming is the budget of members that have just started.
+type warming struct {
+	SlowStart
 	fed, borne []int64 // fed: when the last lot was drawn; borne: RPCs that were ok
 	listing    []int64 // start by the list, on the store's clock
 	restarted  []int64 // start by a silence that is taken for a restart, on the driver's clock
@@ -107,7 +107,7 @@
 	roster
 	observations
 	health
-	thawing
+	warming
 	picking       picking
 	spare         float64 // further attempts that may be made now
 	success       float64 // share of recent further attempts that were ok
