One of many drivers trusts a primary's role for 2 s; claims from the future do not outlast reports

For nine drivers or more the time is 2 s; a word that may have been lost still is asked for at once.

A claim to be primary at a position from the future made all later reports that the member is none look older. A denial from before the member's last claim, by positions, still counts at once, but claims made from then on count too, with no 200 ms in between; one without a position is not taken for old.

Tried and left out: probing all members of a group with no primary as their positions grow old, whatever they lagged.

TestCostsGrowWithMembers failed once more, a pick among 300 at 5.7 of 5.2: each size took one of two times steadily within a process (86 or 168 us), as its arrays came to lie in memory. It is built six times and the best counts; the bounds are the same.

--- a/rules/freshness.go
+++ b/rules/freshness.go
@@ -4,6 +4,7 @@
 
 const (
 	roleTrusted = 500 * ms // a primary that was heard to be one within this time gets reads as one
+	trustOfMany = 2 * sec  // the same for one of many drivers, each of which hears little of a member
 	soonestLook = 50 * ms  // between two rounds of a member's own probes
 	looksApart  = 90 * ms  // between two probes by which a primary is asked whether it still is one
 	mostAsks    = 4        // such probes for one read, over 0.3 s, by which reports may lag
@@ -63,7 +64,7 @@
 
 func (d *Driver) confirmed(m member) bool {
 	k := &d.known[m]
-	return k.confirmed != 0 && d.host.Now()-k.confirmed <= roleTrusted && (k.unanswered == 0 || k.made >= k.unanswered)
+	return k.confirmed != 0 && d.host.Now()-k.confirmed <= fewOrMany(d, roleTrusted, trustOfMany) && (k.unanswered == 0 || k.made >= k.unanswered)
 }
 
 // reaches tells whether a member's known position by itself is enough for a read, whatever its role.
--- a/rules/observations.go
+++ b/rules/observations.go
@@ -106,14 +106,15 @@
 // observeReplica takes in that a member is no primary.
 func (d *Driver) observeReplica(m member, position int64, by source) {
 	k, g, now := &d.known[m], d.of[m], d.host.Now()
-	if by != byAnswer && position+rounding < k.claimed {
-		return // made before its last claim
-	}
-	switch by {
-	case byAnswer: // it may still claim to be primary while it hands over
-		k.deniedTo = now + handover
-	case byReport:
+	// It was made before the member's last claim, as far as positions tell.
+	before := position != 0 && position+rounding < k.claimed && d.plausible(k.claimed)
+	switch {
+	case by != byAnswer && before:
+		return
+	case by == byReport, before:
 		k.deniedTo = max(k.deniedTo, now)
+	case by == byAnswer: // it may still claim to be primary while it hands over
+		k.deniedTo = now + handover
 	}
 	if k.role == RolePrimary {
 		k.formerAt = d.clock.at(now)
@@ -144,11 +145,14 @@
 	if k.deniedTo != 0 && made <= k.deniedTo {
 		return // from before the word that it is none, or from a member about to hand over
 	}
-	standsStill := by != byAnswer && position <= k.claimed
+	standsStill := by != byAnswer && position <= k.claimed && d.plausible(k.claimed)
 	if lead := now - position; position != 0 && (k.role != RolePrimary || lead < k.leastLead) {
 		k.leastLead = lead
 	}
-	k.role, k.claimed, k.formerAt = RolePrimary, max(k.claimed, position), 0
+	k.role, k.formerAt = RolePrimary, 0
+	if d.plausible(position) && (position > k.claimed || !d.plausible(k.claimed)) {
+		k.claimed = position
+	}
 	if !standsStill {
 		k.confirmed, k.made = now, made
 	}
--- a/rules/sizes_test.go
+++ b/rules/sizes_test.go
@@ -50,17 +50,27 @@
 	return d, lines
 }
 
-// least are the times that the quickest of some rounds of each of several things take, which other work on the machine changes least.
-// They take turns, since the machine itself may run at another speed for a while.
-func least(rounds int, things []func()) (took []float64) {
+// layouts is how many times each thing is built: where its arrays come to lie in memory makes it up to twice as slow (seen: a pick among 300
+// takes 86 or 168 us, each steadily in one process).
+const layouts = 6
+
+// least are the times that the quickest of some rounds of each of several things take, in the best of some layouts, which other work on the
+// machine changes least. They take turns, since the machine itself may run at another speed for a while.
+func least(rounds int, things []func() (do func())) (took []float64) {
 	for range things {
 		took = append(took, math.MaxFloat64)
 	}
-	for range rounds {
-		for i, do := range things {
-			begun := time.Now()
-			do()
-			took[i] = min(took[i], float64(time.Since(begun)))
+	for range layouts {
+		var laid []func()
+		for _, build := range things {
+			laid = append(laid, build())
+		}
+		for range rounds {
+			for i, do := range laid {
+				begun := time.Now()
+				do()
+				took[i] = min(took[i], float64(time.Since(begun)))
+			}
 		}
 	}
 	return took
@@ -70,22 +80,26 @@
 // also while RPCs are held.
 func TestCostsGrowWithMembers(t *testing.T) {
 	sizes := []int{100, 300, 1000}
-	var picking, listing []func()
+	var picking, listing []func() (do func())
 	for _, n := range sizes {
-		d, _ := sized(n, n)
-		last := rules.RPCID(0)
-		picking = append(picking, func() {
-			for range 20 {
-				last++
-				d.Take(rules.RPC{ID: last, Method: 0, Left: int64(time.Second)})
-				d.Left(last)
+		picking = append(picking, func() func() {
+			d, _ := sized(n, n)
+			last := rules.RPCID(0)
+			return func() {
+				for range 20 {
+					last++
+					d.Take(rules.RPC{ID: last, Method: 0, Left: int64(time.Second)})
+					d.Left(last)
+				}
 			}
 		})
-		held, lines := sized(n, 20)
-		for i := range 500 { // writes, for which there is no primary
-			held.Take(rules.RPC{ID: rules.RPCID(i + 1), Method: 1, Group: rules.GroupID(i % (n / 20)), Left: int64(time.Second)})
-		}
-		listing = append(listing, func() { held.List(lines, true) })
+		listing = append(listing, func() func() {
+			d, lines := sized(n, 20)
+			for i := range 500 { // writes, for which there is no primary
+				d.Take(rules.RPC{ID: rules.RPCID(i + 1), Method: 1, Group: rules.GroupID(i % (n / 20)), Left: int64(time.Second)})
+			}
+			return func() { d.List(lines, true) }
+		})
 	}
 	picks, lists := least(41, picking), least(21, listing)
 	t.Logf("members %v: picks %.0f ns, lists %.0f ns", sizes, picks, lists)
