Trials: an address is given away once in a process

A trial draws the addresses of its voters, of gossip and of its drivers by calls of their own; each call lets go of what it drew, and the system offered a port again to the next (a thousand calls give the same one twice, each time that was tried). Nothing else listens at 127.0.0.2, so that this is the cause as far as it can be told; which two had that port is not in the log.

--- a/internal/emulator/sockets/drivers.go
+++ b/internal/emulator/sockets/drivers.go
@@ -62,16 +62,27 @@
 	return d.log.String()
 }
 
-// FreeAddresses are loopback addresses that were free a moment ago, no two alike. Nobody connects from where they are, which
+// handedOut are the addresses that this process gave away: the system may offer one again before whoever got it listens there.
+var handedOut = struct {
+	sync.Mutex
+	addresses map[string]bool
+}{addresses: map[string]bool{}}
+
+// FreeAddresses are loopback addresses that were free a moment ago, none given away before. Nobody connects from where they are, which
 // would take the port of one that is not listened on yet, or not for a while.
 func FreeAddresses(count int) (free []string, err error) {
-	for range count {
+	handedOut.Lock()
+	defer handedOut.Unlock()
+	for len(free) < count {
 		l, err := net.Listen("tcp", "127.0.0.2:0")
 		if err != nil {
 			return nil, err
 		}
 		defer l.Close()
-		free = append(free, l.Addr().String())
+		if address := l.Addr().String(); !handedOut.addresses[address] {
+			handedOut.addresses[address] = true
+			free = append(free, address)
+		}
 	}
 	return free, nil
 }
