Relays: a connection that is ended by a trouble is reset, whoever comes to its end first

When a pipe ends its pair, the reset (context.AfterFunc) and the orderly close (the deferred one, once both pipes have returned) raced, and the first closed both sockets. The deferred close asks now whether the pair was ended.

--- a/internal/emulator/links/relays/pair.go
+++ b/internal/emulator/links/relays/pair.go
@@ -55,7 +55,7 @@
 
 // run passes bytes both ways until both have ended, or one can't go on.
 func (p *pair) run() {
-	defer p.close(false)
+	defer func() { p.close(p.life.Err() != nil) }() // one that was ended is reset, whoever comes to it first
 	defer context.AfterFunc(p.life, func() { p.close(true) })()
 	var both sync.WaitGroup
 	for _, k := range p.pipes {
