A cold member's budget is a share of what warm members answer, not of attempts

Cause: the budget took a driver's attempts for its members' load. Under overload members turn most attempts away, and each is made again: 0.24 to 2.9 attempts a second and member were reckoned with where a member can do 0.13 for each driver (trial with a line an attempt). Ruled out: news of the start that came late (all drivers but a few had been told), the list's start on another clock (ages 0.15 to 2.5 s). Mend: warmLoad counts answers of warm members for each group; attempts and rejections don't count, nor do cold members.

--- a/rules/health.go
+++ b/rules/health.go
@@ -34,7 +34,7 @@
 			d.teach(m, max(float64(r.Took), d.took[m]), c.method.ample(), false)
 		}
 	case r.Proof == OK:
-		d.borne[m]++
+		d.observeLoad(m)
 		d.lost[m], d.refused[m], d.answered[m] = 0, 0, r.Took
 		d.known[m].missed = d.known[m].missed && c.method.Need == NeedAny
 		c.group.took += 0.03 * (float64(r.Took) - c.group.took)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -147,7 +147,6 @@
 	apart := min(float64(max(now-g.last, ms/10)), 4*g.gap)
 	if !c.held && len(g.held) == 0 || apart < g.gap { // what is held back shows too little of the traffic
 		g.gap += 0.05 * (apart - g.gap)
-		g.bore = d.bearers(g, now-int64(20*g.gap))
 	}
 	g.last, c.held = now, false
 	number, counted, wait := 0, true, d.tooLong(c, m)
--- a/rules/state.go
+++ b/rules/state.go
@@ -74,7 +74,7 @@
 	held      []*call
 	last      int64
 	gap, took float64 // smoothed: between this driver's attempts; answer time
-	bore      float64 // members that the attempts were for
+	load      warmLoad
 }
 
 // call is an RPC being worked on.
@@ -160,17 +160,6 @@
 	d.of[m].members = append(d.of[m].members, m)
 }
 
-// bearers counts the members of a group that the list has, or that were heard since: those that left long ago
-// bore none of its attempts.
-func (d *Driver) bearers(g *group, since int64) (count float64) {
-	for _, m := range g.members {
-		if d.state[m] == Healthy || d.heard[m] > since {
-			count++
-		}
-	}
-	return count
-}
-
 // Met tells whether anything was heard of a member, from itself or from a fellow driver.
 func (d *Driver) Met(id MemberID) bool {
 	m, known := d.index[id]
