Slow start: budgets by what warm members and primaries answer, by requests before that

Now what the primary serves while it is warm counts by itself, ten expected answers fade, and what is expected follows the requests that go out for the first time (further attempts counted before).

--- a/rules/list.go
+++ b/rules/list.go
@@ -24,7 +24,7 @@
 		}
 		d.listing[m] = max(d.listing[m], l.Started)
 		if g := d.of[m]; l.Primary && g.primary == nobody && d.known[m].role == RoleUnknown {
-			g.primary = m
+			d.setPrimary(g, m)
 		}
 	}
 	d.watch()
--- a/rules/observations.go
+++ b/rules/observations.go
@@ -157,7 +157,7 @@
 		k.confirmed, k.made = now, made
 	}
 	if g.primary != m && dated >= g.since {
-		g.primary = m
+		d.setPrimary(g, m)
 		d.logf("primary group=%d member=%d by=%s evidence_ms=%d", g.id, d.ids[m], sourceNames[by], (now-dated)/ms)
 	}
 	g.since = max(g.since, dated)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -144,11 +144,10 @@
 	c.tried = append(c.tried, m)
 	d.out[m]++
 	g := c.group
-	apart := min(float64(max(now-g.last, ms/10)), 4*g.gap)
-	if !c.held && len(g.held) == 0 || apart < g.gap { // what is held back shows too little of the traffic
-		g.gap += 0.05 * (apart - g.gap)
+	if c.tries == 1 {
+		g.observeRequest(now, !c.held && len(g.held) == 0)
 	}
-	g.last, c.held = now, false
+	c.held = false
 	number, counted, wait := 0, true, d.tooLong(c, m)
 	before := d.borne[m] + int64(d.out[m]) // answers to come first where none overtakes another
 	number = d.host.Attempt(c.ID, d.ids[m], d.patience(c, m), func(r Result) {
@@ -167,6 +166,16 @@
 	})
 }
 
+// observeRequest notes that a request has gone out for the first time. Those that come while others are held back show too little of the traffic,
+// unless they come sooner than is known.
+func (g *group) observeRequest(now int64, flows bool) {
+	apart := min(float64(max(now-g.last, ms/10)), 4*g.gap)
+	if flows || apart < g.gap {
+		g.gap += 0.05 * (apart - g.gap)
+	}
+	g.last = now
+}
+
 // patience is the time-out of an attempt. Where copies are not allowed an idempotent read leaves a member
 // that keeps it waiting too long while there is time for another; else it waits to the deadline.
 func (d *Driver) patience(c *call, m member) int64 {
--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -3,11 +3,13 @@
 const (
 	savedUp      = 2.0  // attempts of a group for which a cold member's share is saved up
 	latestAnswer = 0.05 // weight of the latest answer in the load of warm members
+
+	expectedAnswers = 10.0 // that the load to expect weighs before any came
 )
 
-// warmLoad is the rate at which the warm members of a group serve this driver, which is what a cold member's budget is a share of: members
-// serve no more than they can do, whatever they are sent. Attempts don't tell that: under overload most of them are turned away, and made
-// again. Answers of cold members and time in which no member was warm don't count, so that a budget does not shrink by itself.
+// warmLoad is the rate at which warm members serve this driver, which is what a cold member's budget is a share of: members serve no more than
+// they can do, whatever they are sent. Attempts don't tell that: under overload most of them are turned away, and made again. Answers of cold
+// members and time in which no member was warm don't count, so that a budget does not shrink by itself.
 type warmLoad struct {
 	answers float64 // that warm members gave, smoothed
 	time    float64 // in which they gave them, in nanoseconds of one member
@@ -21,41 +23,54 @@
 	l.at = now
 }
 
-// rate is the number of answers that one warm member gives in a nanosecond.
-func (l *warmLoad) rate(now int64, warm int) float64 {
-	return l.answers / (l.time + float64(now-l.at)*float64(warm))
+// rate is the number of answers that one warm member gives in a nanosecond, if so many are warm now. What is expected weighs the less the more
+// answers were seen.
+func (l *warmLoad) rate(now int64, warm int, expected float64) float64 {
+	prior := expectedAnswers * (1 - latestAnswer*l.answers)
+	return (l.answers + prior) / (l.time + float64(now-l.at)*float64(warm) + prior/expected)
 }
 
-// expectedLoad is the load of a group to reckon with before any answer came, which as many answers outweigh as are smoothed over.
-func expectedLoad(now int64, members int) warmLoad {
-	return warmLoad{answers: 1 / latestAnswer, time: float64(firstGap) / latestAnswer * float64(members), at: now}
-}
+// groupLoad is what a group's warm members serve, in the mean, and what its primary does while it is warm, which may be more: each member can do
+// as much.
+type groupLoad struct{ mean, primary warmLoad }
 
-// warmMembers counts the members of a group that answer and are warm.
-func (d *Driver) warmMembers(g *group) (count int) {
-	for _, m := range g.members {
-		if d.state[m] == Healthy && !d.silent[m] && d.warm(m) {
-			count++
-		}
-	}
-	return count
+// setPrimary makes a member its group's primary. What primaries served before it does not tell of the time in between.
+func (d *Driver) setPrimary(g *group, m member) {
+	g.primary, g.load.primary.at = m, d.host.Now()
 }
 
 // observeLoad notes that a member has served an attempt.
 func (d *Driver) observeLoad(m member) {
 	d.borne[m]++
-	if d.warm(m) {
-		g := d.of[m]
-		d.expectLoad(g)
-		g.load.served(d.host.Now(), d.warmMembers(g))
+	if !d.warm(m) {
+		return
+	}
+	now, g := d.host.Now(), d.of[m]
+	g.load.mean.served(now, d.warmMembers(g))
+	if g.primary == m {
+		g.load.primary.served(now, 1)
 	}
 }
 
-// expectLoad begins with what is to be expected of a group, which is known once its members are.
-func (d *Driver) expectLoad(g *group) {
-	if g.load.at == 0 {
-		g.load = expectedLoad(d.host.Now(), len(g.members))
+// loadPerMember is how many answers a nanosecond a warm member of a group is known to be able to give this driver. Before answers tell, as much is
+// expected as requests come.
+func (d *Driver) loadPerMember(g *group) float64 {
+	now, warmPrimaries := d.host.Now(), 0
+	if g.primary != nobody && d.warm(g.primary) {
+		warmPrimaries = 1
 	}
+	mean := g.load.mean.rate(now, d.warmMembers(g), 1/(g.gap*float64(len(g.members))))
+	return max(mean, g.load.primary.rate(now, warmPrimaries, mean))
+}
+
+// warmMembers counts the members of a group that answer and are warm.
+func (d *Driver) warmMembers(g *group) (count int) {
+	for _, m := range g.members {
+		if d.state[m] == Healthy && !d.silent[m] && d.warm(m) {
+			count++
+		}
+	}
+	return count
 }
 
 // warm tells whether a member has not started lately.
@@ -72,12 +87,11 @@
 		return true
 	}
 	now, g, started := d.host.Now(), d.of[m], d.startOf(m)
-	d.expectLoad(g)
 	able := d.Share + (1-d.Share)*float64(now-started)/float64(d.WarmAfter)
 	span := min(savedUp*g.gap, float64(now-max(d.fed[m], started))) // since the last lot
 	d.fed[m] = now
 	bore := float64(d.borne[m]) / float64(max(10*sec, now-d.begun)) // itself, in the mean
-	rate := max(bore, g.load.rate(now, d.warmMembers(g)))
+	rate := max(bore, d.loadPerMember(g))
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -73,8 +73,8 @@
 	since     int64 // date of the evidence that named the primary
 	held      []*call
 	last      int64
-	gap, took float64 // smoothed: between this driver's attempts; answer time
-	load      warmLoad
+	gap, took float64 // smoothed: between this driver's requests; answer time
+	load      groupLoad
 }
 
 // call is an RPC being worked on.
@@ -225,7 +225,7 @@
 	m := d.place()
 	g := d.groups[l.Group]
 	if g == nil {
-		g = &group{id: l.Group, primary: nobody, took: took, gap: gap}
+		g = newGroup(l.Group, d.host.Now(), took, gap)
 		d.groups[l.Group] = g
 	}
 	d.index[l.Member] = m
@@ -234,6 +234,11 @@
 	return m
 }
 
+func newGroup(id GroupID, now int64, took, gap float64) *group {
+	begins := warmLoad{at: now}
+	return &group{id: id, primary: nobody, took: took, gap: gap, load: groupLoad{begins, begins}}
+}
+
 // isRead tells whether a replica may answer.
 func (c *call) isRead() bool { return c.method.Need != NeedPrimary && c.method.Need != NeedFresh }
 
