A primary's word counts for what the bound leaves, and not while its position stands still

Mend: roleTrusted. For a bounded read a word counts for what the bound leaves, from when it was given at the earliest; for session and fresh reads 500 ms, which is assumed, since no setting tells what a store promises of its elections. After four probes one that stands still, or a word of which may have been lost, is not taken at its last word any more, unless probes tell nothing of roles.

--- a/rules/freshness.go
+++ b/rules/freshness.go
@@ -3,11 +3,13 @@
 import "fmt"
 
 const (
-	roleTrusted = 500 * ms // a primary that was heard to be one within this time gets reads as one
-	trustOfMany = 2 * sec  // the same for one of many drivers, each of which hears little of a member
-	soonestLook = 50 * ms  // between two rounds of a member's own probes
-	looksApart  = 90 * ms  // between two probes by which a primary is asked whether it still is one
-	mostAsks    = 4        // such probes for one read, over 0.3 s, by which reports may lag
+	// soonestElection is how soon after it was certainly primary a member may have a successor that has acted. No setting tells what a store
+	// promises of its elections: this is an assumption, on which session and fresh reads at primaries rest.
+	soonestElection = 500 * ms
+
+	soonestLook = 50 * ms // between two rounds of a member's own probes
+	looksApart  = 90 * ms // between two probes by which a primary is asked whether it still is one
+	mostAsks    = 4       // such probes for one read, over 0.3 s, by which reports may lag
 )
 
 // basis says why a member may answer a read, or that it may not.
@@ -49,22 +51,37 @@
 	return noBasis
 }
 
-// primaryBasis tells whether a primary may answer a read by its role. One that was not heard of for a while, or with a word of which may have
-// been lost, is asked first. Guards against a former primary that says so in an answer that breaks off, or that nobody hears: it answers from
-// data that grows older. One that can't be asked, or does not say after being asked again, is taken at its last word.
+// primaryBasis tells whether a primary may answer a read by its role. One whose word is too old, or with a word of which may have been lost,
+// is asked first. Guards against a former primary that says so in an answer that breaks off, or that nobody hears, and against one that was cut
+// off and goes on believing in itself: it answers from data that grows older, and its position stands still. One that can't be asked, or whose
+// probes tell nothing of its role, is taken at its last word: the read itself is the question then. So is one whose position moves, but whose
+// reports lag too far to show more.
 func (d *Driver) primaryBasis(m member, c *call) basis {
-	if d.confirmed(m) {
+	k := &d.known[m]
+	asked := c.asks >= mostAsks
+	switch {
+	case d.confirmed(m, c.method):
 		return asPrimary
-	}
-	if !d.allowed.Probes || c.asks >= mostAsks {
+	case !d.allowed.Probes, asked && k.mute, asked && k.confirmed >= c.askedAt && !k.lostWord():
 		return asClaimed
 	}
 	return noBasis
 }
 
-func (d *Driver) confirmed(m member) bool {
+// confirmed tells whether a member's word that it is primary is recent enough for a read.
+func (d *Driver) confirmed(m member, method *Method) bool {
 	k := &d.known[m]
-	return k.confirmed != 0 && d.host.Now()-k.confirmed <= fewOrMany(d, roleTrusted, trustOfMany) && (k.unanswered == 0 || k.made >= k.unanswered)
+	return k.made != 0 && !k.lostWord() && d.host.Now()-k.made <= d.roleTrusted(method)
+}
+
+// roleTrusted is how old a primary's word may be for a read. For a bounded one it follows from the bound: when it gave its word it had all data,
+// which can't have grown older than that since, whoever was elected meanwhile. Where that leaves less time than it takes to ask, reads rest on
+// what is assumed of elections, as session and fresh ones do.
+func (d *Driver) roleTrusted(method *Method) int64 {
+	if usable := d.usableAge(method); method.Need == NeedBounded && usable >= looksApart {
+		return usable
+	}
+	return soonestElection
 }
 
 // reaches tells whether a member's known position by itself is enough for a read, whatever its role.
@@ -115,10 +132,15 @@
 
 // confirm asks a primary whether it still is one, for a read that waits for that.
 func (d *Driver) confirm(m member, c *call) {
-	if d.asking[m] == 0 && d.host.Now()-d.lookedAt[m] >= looksApart {
-		c.asks++
-		d.probe(m)
+	now := d.host.Now()
+	if d.asking[m] != 0 || now-d.lookedAt[m] < looksApart || c.asks >= mostAsks {
+		return
+	}
+	if c.asks == 0 {
+		c.askedAt = now
 	}
+	c.asks++
+	d.probe(m)
 }
 
 // Basis tells for the log why an attempt at a member may begin.
--- a/rules/observations.go
+++ b/rules/observations.go
@@ -40,8 +40,12 @@
 	unanswered int64 // when something sent to it last ended without an answer, with which a word of its role may have been lost
 
 	missed bool // it turned its last read away
+	mute   bool // it answered its last probe and said nothing of its role
 }
 
+// lostWord tells whether a word of its role may have been lost since it last said that it is primary.
+func (k *replicaState) lostWord() bool { return k.unanswered != 0 && k.made < k.unanswered }
+
 // observe takes in what was stated of a member's role and position. Asked is when the member was asked for it, where it was.
 func (d *Driver) observe(m member, s Observation, by source, asked int64) {
 	if s.Role == RoleUnknown {
@@ -145,7 +149,9 @@
 	if k.deniedTo != 0 && made <= k.deniedTo {
 		return // from before the word that it is none, or from a member about to hand over
 	}
-	standsStill := by != byAnswer && position <= k.claimed && d.plausible(k.claimed)
+	// A primary stands at the present: one whose position has not moved since its last claim was heard hangs, or was cut off and does not know.
+	asWhenHeard := by != byAnswer || position != 0 && asked > k.confirmed+rounding
+	standsStill := asWhenHeard && position <= k.claimed && d.plausible(k.claimed)
 	if lead := now - position; position != 0 && (k.role != RolePrimary || lead < k.leastLead) {
 		k.leastLead = lead
 	}
--- a/rules/probing.go
+++ b/rules/probing.go
@@ -61,6 +61,7 @@
 	d.lookedAt[m] = d.host.Now()
 	if r.Cause == NoCause || r.Cause == Full || r.Cause == Errored { // whatever it answers it is alive
 		d.alive(m, r.Opened)
+		d.known[m].mute = r.Report.Role == RoleUnknown && r.Role == RoleUnknown
 		d.observe(m, r.Report, byReport, asked)
 		d.observe(m, r.Observation, byAnswer, asked)
 	} else if d.host.Now()-d.heard[m] >= hush { // else it lives, and only the probe's connection broke
--- a/rules/state.go
+++ b/rules/state.go
@@ -93,6 +93,7 @@
 	looked               member // the replica probed for it last
 	looks                int
 	asks                 int     // probes by which the primary was asked for it whether it still is one
+	askedAt              int64   // when the first of them was made
 	lot                  float64 // drawn once, for whether it may go to a strained primary
 }
 
