What a leaving driver tells behind a hole is heard, shelves are written again, gaps of forgotten starts

Three places like the trail that only its telling emptied, found by going through buffers that wait for somebody who must be reached: - A driver that leaves told the rest of its trail; a voter that holds less than the one before let it go as it lay behind a hole, and the audit called nothing unknown, since who leaves has told all. It is taken now, and the hole shows (TestALeavingDriverIsHeardBehindAHole). - A voter whose disk refused one write kept trails in memory alone for good. All that is held is written anew as soon as the disk allows, a second apart (TestTrailsAreKeptOnceTheDiskAllows). - All of the time of starts that a roster has forgotten was called unknown; it is what lies before, between and after the trails that are held of them (TestTrailsOfForgottenStartsCount). So a night of many starts can show what is missing, instead of having it excused. Looked at and left: gossip between drivers (a flag a member), the ledger of grants (used by nothing yet).

--- a/internal/audit/collection.go
+++ b/internal/audit/collection.go
@@ -51,6 +51,28 @@
 	return c.take(p)
 }
 
+// TakeLast takes in what a driver tells that leaves: what is missing before it can't be told any more, and is a hole.
+func (c *Collection) TakeLast(p Part) (held uint64) { return c.take(p) }
+
+// Extent is from when to when the trail of a start is held, with holes or without, by the clock of those who heard it.
+type Extent struct {
+	Who      versions.Sign
+	From, To int64
+}
+
+// Extents are those of all starts of a name, in their order.
+func (c *Collection) Extents(name string) (all []Extent) {
+	for _, who := range c.starts() {
+		t := c.trails[who]
+		if who.Name != name || len(t.pieces) == 0 {
+			continue
+		}
+		last := t.pieces[len(t.pieces)-1].entries
+		all = append(all, Extent{who, t.place(t.pieces[0].entries[0].At), t.place(last[len(last)-1].At)})
+	}
+	return all
+}
+
 // take takes in a part wherever it belongs behind what is held.
 func (c *Collection) take(p Part) (held uint64) {
 	holds, err := p.Verify()
--- a/internal/membership/muster.go
+++ b/internal/membership/muster.go
@@ -42,6 +42,7 @@
 	strange  []json.RawMessage // records of a newer build
 	pacer    *versions.Pacer   // of texts
 	shelf    *shelf.Shelf      // where trails are kept, nil for nowhere
+	unkept   int64             // when they could not be written last, 0 where all are
 	stopped  string            // why stragglers are not shut out, as told last
 	looked   int64             // when what drivers act on by themselves was looked at last
 	observed []versions.Spread // as it was then
@@ -366,7 +367,7 @@
 		m.mu.Unlock()
 		return granted{}, chamber.ErrNotLeading
 	}
-	m.hear(a.Trails) // also of a start that gets no lease any more
+	m.hear(a.Trails, false) // also of a start that gets no lease any more
 	if err := m.roster.Renew(m.now(), a.Name, a.Token); err != nil {
 		m.mu.Unlock()
 		return granted{}, told(err)
@@ -501,7 +502,7 @@
 // leave takes in that a driver leaves, with what is left to tell of its trail.
 func (m *Muster) leave(ctx context.Context, a asking) error {
 	_, err := m.decide(ctx, &m.mu, func() ([]musterRecord, error) {
-		m.hear(a.Trails)
+		m.hear(a.Trails, true)
 		return ofRoster(m.roster.Leave(m.now(), a.Name, a.Token)), nil
 	})
 	return err
--- a/internal/membership/muster_test.go
+++ b/internal/membership/muster_test.go
@@ -323,10 +323,72 @@
 		return Seen{Driver: roster.Driver{Claim: roster.Claim{Name: name}, Start: oldest + 1, Earlier: []roster.Ended{{Start: oldest, Joined: 50}}}}
 	}
 	f := Fleet{Lease: 7, Drivers: []Seen{d("a", 1), d("b", 3), {Driver: roster.Driver{Claim: roster.Claim{Name: "c"}, Start: 1}}}}
-	all := f.forgotten("")
+	all := f.forgotten("", audit.NewCollection(100))
 	require.Len(t, all, 1)
 	require.Equal(t, versions.Sign{Name: "b", Start: 2}, all[0].Who)
 	require.EqualValues(t, []int64{0, 57}, []int64{all[0].From, all[0].To})
 	require.Contains(t, all[0].Why, "a roster remembers 1")
-	require.Empty(t, f.forgotten("a"))
+	require.Empty(t, f.forgotten("a", audit.NewCollection(100)))
+}
+
+// Guards against a time that is called unknown though trails are held of it, and one that is not though none are: of starts that the roster has
+// forgotten what lies before, between and after their trails is not known.
+func TestTrailsOfForgottenStartsCount(t *testing.T) {
+	held := audit.NewCollection(100)
+	for _, start := range []uint64{1, 2, 4} {
+		trail := audit.NewTrail(int64(10*start), versions.Sign{Name: "b", Start: start}, "x", 100, 1)
+		trail.Flush(int64(10*start) + 3)
+		trail.Has(int64(10*start)+3, versions.List, 1)
+		held.Take(trail.Since(0, 100))
+	}
+	f := Fleet{Lease: 7, Drivers: []Seen{{Driver: roster.Driver{Claim: roster.Claim{Name: "b"}, Start: 7, Earlier: []roster.Ended{{Start: 6, Joined: 60}}}}}}
+	var unknown [][]int64
+	for _, u := range f.forgotten("b", held) {
+		unknown = append(unknown, []int64{int64(u.Who.Start), u.From, u.To})
+	}
+	require.Equal(t, [][]int64{{1, 13, 27}, {3, 23, 47}, {5, 43, 67}}, unknown)
+}
+
+// Guards against the last of a trail that is lost as its driver leaves: the voter that decides by then may hold less than the one before, and
+// what is left comes behind a hole. The audit said nothing of that time, since who leaves has told all.
+func TestALeavingDriverIsHeardBehindAHole(t *testing.T) {
+	m := NewMuster(Terms{Lease: time.Second}, quiet())
+	who := versions.Sign{Name: "a", Start: 1}
+	trail := audit.NewTrail(m.now(), who, "x", 100, int64(time.Hour))
+	for range 5 {
+		trail.Began(m.now(), "x", 1)
+		trail.Ended(m.now(), "x", 1, "w", audit.NonIdempotent, audit.Served, m.now())
+	}
+	trail.Flush(m.now())
+	m.hear([]audit.Part{trail.Since(0, 1)}, false)
+	m.hear([]audit.Part{trail.Since(4, 100)}, false)
+	require.EqualValues(t, 1, m.trails.Held(who), "what lies before is to be told first")
+	m.hear([]audit.Part{trail.Since(4, 100)}, true)
+	require.Len(t, m.trails.Parts(), 2)
+	require.Contains(t, m.trails.Unknown([]audit.Start{{Who: who}})[0].Why, "entries 2 to 4 are not held")
+}
+
+// Guards against trails that are kept in memory alone for good, since the disk refused them for a moment.
+func TestTrailsAreKeptOnceTheDiskAllows(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "trails")
+	m := NewMuster(Terms{Lease: time.Second}, quiet())
+	require.NoError(t, m.Keep(path))
+	trail := audit.NewTrail(m.now(), versions.Sign{Name: "a", Start: 1}, "x", 100, 1)
+	tells := func(count int) {
+		for range count {
+			trail.Flush(m.now())
+			trail.Learns(m.now(), "x", 1, 1)
+			m.hear([]audit.Part{trail.Since(m.trails.Held(versions.Sign{Name: "a", Start: 1}), 100)}, false)
+		}
+	}
+	tells(1)
+	require.NoError(t, m.shelf.Close()) // so that writes fail
+	tells(2)
+	require.NotZero(t, m.unkept)
+	m.unkept -= renewShelfEvery
+	tells(2)
+	require.Zero(t, m.unkept)
+	next := NewMuster(Terms{Lease: time.Second}, quiet())
+	require.NoError(t, next.Keep(path))
+	require.Equal(t, m.trails.Parts(), next.trails.Parts())
 }
--- a/internal/membership/trails.go
+++ b/internal/membership/trails.go
@@ -41,25 +41,46 @@
 	return nil
 }
 
-// hear takes in what a driver tells of its trail. The lock is held.
-func (m *Muster) hear(parts []audit.Part) {
+// hear takes in what a driver tells of its trail, the last of it where it leaves: that is taken also behind a hole. The lock is held.
+func (m *Muster) hear(parts []audit.Part, last bool) {
+	take := m.trails.Take
+	if last {
+		take = m.trails.TakeLast
+	}
 	for _, p := range parts {
 		p, held := p.Heard(m.now()), m.trails.Held(p.Who)
-		if m.trails.Take(p) == held || m.shelf == nil {
-			continue
-		}
-		err := m.shelf.Put(p)
-		if err == nil && m.shelf.Full() {
-			err = m.shelf.Renew(m.trails.Parts())
-		}
-		if err != nil {
-			m.log.WithError(err).Error("trails are kept in memory alone from here on")
-			m.shelf.Close()
-			m.shelf = nil
+		if take(p) != held && m.shelf != nil {
+			m.keep(p)
 		}
 	}
 }
 
+// renewShelfEvery is how long a shelf that could not be written waits until it is written anew.
+const renewShelfEvery = int64(time.Second)
+
+// keep writes a part down. Where that fails, all that is held is written anew as soon as the disk allows. The lock is held.
+func (m *Muster) keep(p audit.Part) {
+	if m.unkept != 0 && m.now()-m.unkept < renewShelfEvery {
+		return
+	}
+	var err error
+	if m.unkept == 0 {
+		err = m.shelf.Put(p)
+	}
+	if m.unkept != 0 || err == nil && m.shelf.Full() {
+		err = m.shelf.Renew(m.trails.Parts())
+	}
+	switch {
+	case err != nil && m.unkept == 0:
+		m.log.WithError(err).Error("trails are kept in memory alone until they can be written again")
+	case err == nil && m.unkept != 0:
+		m.log.Info("trails are kept on disk again")
+	}
+	if m.unkept = 0; err != nil {
+		m.unkept = m.now()
+	}
+}
+
 // trailsHeld are those that this voter was told while it decided.
 func (m *Muster) trailsHeld() Trails {
 	m.mu.Lock()
@@ -138,20 +159,30 @@
 			f.Late = append(f.Late, all.Late(q.Thing, v.Number, v.Epoch, v.Closes, q.Clocks)...)
 		}
 	}
-	f.Unknown = append(all.Unknown(fleet.starts(q.Driver)), fleet.forgotten(q.Driver)...)
+	f.Unknown = append(all.Unknown(fleet.starts(q.Driver)), fleet.forgotten(q.Driver, all)...)
 	return f, nil
 }
 
-// forgotten are the times of starts that the roster does not remember any more: of what they did beyond the trails that are held
-// nothing is known.
-func (f *Fleet) forgotten(driver string) (all []audit.Unknown) {
+// forgotten are the times in which starts that the roster does not remember any more may have done what nobody was told: before, between and
+// after the trails that are held of them. Each may have acted until a lease after the next one joined.
+func (f *Fleet) forgotten(driver string, held *audit.Collection) (all []audit.Unknown) {
 	for _, d := range f.Drivers {
 		if driver != "" && d.Name != driver || len(d.Earlier) == 0 || d.Earlier[0].Start == 1 {
 			continue
 		}
 		oldest := d.Earlier[0]
-		all = append(all, audit.Unknown{Who: versions.Sign{Name: d.Name, Start: uint64(oldest.Start - 1)}, To: oldest.Joined + f.Lease,
-			Why: fmt.Sprintf("it and the starts before it are not remembered: a roster remembers %d", len(d.Earlier))})
+		why := fmt.Sprintf("it is not remembered, and what is held of its trail ends: a roster remembers %d", len(d.Earlier))
+		last := audit.Extent{Who: versions.Sign{Name: d.Name}}
+		for _, e := range held.Extents(d.Name) {
+			if e.Who.Start >= uint64(oldest.Start) {
+				break
+			}
+			if e.Who.Start > 1 {
+				all = append(all, audit.Unknown{Who: versions.Sign{Name: d.Name, Start: e.Who.Start - 1}, From: last.To, To: e.From + f.Lease, Why: why})
+			}
+			last = e
+		}
+		all = append(all, audit.Unknown{Who: versions.Sign{Name: d.Name, Start: uint64(oldest.Start - 1)}, From: last.To, To: oldest.Joined + f.Lease, Why: why})
 	}
 	return all
 }
