Peers' messages that waited while a driver stood still do not count

Looked at: a message holds 16 bits of a position in milliseconds, put to the nearest of the hearer's time. A process that is stopped for 66 s and goes on reads what waited in its socket, and takes a position of 66 s before for one of 0.5 s: a bounded read may go to a replica with data a minute old. Shown by TestNewsThatWaitedDoNotCount, which fails without the mend (forced in the router; not played with real processes). Mend: timers that are overdue by 15 s show the standstill; messages in the second after it are dropped. The wire form stays.

--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -19,10 +19,13 @@
 	newsBytes      = 8   // of one of the news
 	NewsPerMessage = MessageBytes / newsBytes
 
-	mostAge = 30_000 // milliseconds between a position that is told and now: of the position 16 bits are sent
-	keyAt   = 0      // bytes 0 to 3: the member
-	placeAt = 4      // bytes 4 and 5: the position's low bits
-	restAt  = 6      // bytes 6 and 7: role, answer time and seconds, from the low bits up
+	// LongestNews is how many milliseconds may lie between a position that is told and now: of the position 16 bits are sent, which mean another one
+	// to whoever hears it over 32 s later, and 65 s later one that looks new.
+	LongestNews = 30_000
+
+	keyAt   = 0 // bytes 0 to 3: the member
+	placeAt = 4 // bytes 4 and 5: the position's low bits
+	restAt  = 6 // bytes 6 and 7: role, answer time and seconds, from the low bits up
 
 	roles    = 1 << 2
 	tooks    = 1 << 9
@@ -34,7 +37,7 @@
 // AppendNews adds one of the news, told at a time in milliseconds. What is too far from then can't be told and is
 // left out.
 func AppendNews(to []byte, n News, now int64) []byte {
-	if age := now - n.Position; age > mostAge || age < -mostAge {
+	if age := now - n.Position; age > LongestNews || age < -LongestNews {
 		return to
 	}
 	took := (min(max(n.Took, 0), (failed-1)*tookStep) + tookStep - 1) / tookStep
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -234,7 +234,7 @@
 	f.Add(string(AppendNews(nil, one, now)))
 	f.Add(string(AppendNews(AppendNews(nil, News{Position: now + 20}, now), one, now)))
 	f.Add("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff")
-	told, ok := ParseNews(AppendNews(AppendNews(nil, News{Position: now - mostAge - 1}, now), one, now), now+1500)
+	told, ok := ParseNews(AppendNews(AppendNews(nil, News{Position: now - LongestNews - 1}, now), one, now), now+1500)
 	require.True(f, ok)
 	require.Equal(f, []News{one}, told, "what is too old is left out, and what was told means the same a little later")
 	f.Fuzz(func(t *testing.T, text string) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -44,6 +44,7 @@
 	log      logrus.FieldLogger
 	trace    trace
 	gate     *cells.Gate      // nil where tenants have no cells
+	drained  int64            // until when peers' messages are those that waited while this process stood still
 	looked   int64            // when members were last probed for a move
 	holder   *versions.Holder // nil where nothing has versions
 	trail    *audit.Trail     // nil until this start has its number
@@ -111,17 +112,32 @@
 	r.driver.ListFailed()
 }
 
-// ReportNews reports a fellow driver's message, and tells whether it was one.
+// ReportNews reports a peer's message, and tells whether it was one. After this process stood still it may have waited for so long that its positions
+// mean others: what was waiting then does not count.
 func (r *Router) ReportNews(message []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	news, ok := briefing.News(message, r.registry.member, 0, r.driver.StoreNow())
-	if ok {
+	if ok && !r.stoodStill() {
 		r.driver.Told(news)
 	}
 	return ok
 }
 
+const (
+	longStandstill = protocol.LongestNews * milli / 2
+	drainsNews     = 1000 * milli // in which what waited in the socket is read
+)
+
+// stoodStill tells whether this process has just stood still for long, which shows in timers that are overdue. The lock is held.
+func (r *Router) stoodStill() bool {
+	now := r.now()
+	if len(r.timers.queue) > 0 && now-r.timers.queue[0].at > longStandstill {
+		r.drained = now + drainsNews
+	}
+	return now < r.drained
+}
+
 // ReportLook reports what a probe found.
 func (r *Router) ReportLook(to rules.MemberID, o Outcome) {
 	r.mu.Lock()
@@ -173,6 +189,7 @@
 func (r *Router) turn() (Duty, bool, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.stoodStill()
 	for next, ok := r.timers.due(r.now()); ok; next, ok = r.timers.due(r.now()) {
 		next()
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -219,6 +219,32 @@
 	require.False(t, other.ReportNews([]byte("\xff")))
 }
 
+// Guards against reads at a replica of which a peer's message tells that is new though it waited for a minute. A message holds 16 bits of a position,
+// in milliseconds: a process that was stopped for 66 s and goes on reads what waited in its socket, and took a position of 66 s before for one of 0.5 s.
+func TestNewsThatWaitedDoNotCount(t *testing.T) {
+	r := begin(t, "a")
+	a, _ := r.Member("a")
+	stop := func(span int64) {
+		for i := range r.timers.queue {
+			r.timers.queue[i].at -= span
+		}
+	}
+	tell := func(age int64) {
+		position := r.now()/milli - age
+		require.True(t, r.ReportNews(protocol.AppendNews(nil, protocol.News{Member: r.registry.known[a].key, Role: 2, Position: position}, position)))
+	}
+	stop(66_000 * milli)
+	tell(66_000)
+	require.False(t, r.Met(a))
+	for _, ok, _ := r.turn(); ok; _, ok, _ = r.turn() { // its timers run, and more is read from the socket
+	}
+	tell(66_000)
+	require.False(t, r.Met(a))
+	r.drained -= drainsNews
+	tell(10)
+	require.True(t, r.Met(a), "what comes later counts")
+}
+
 // Guards against datagrams that say nothing: a position over 30 s old can't be told.
 func TestNothingToTell(t *testing.T) {
 	r := begin(t, "a")
