--- a/internal/program/lobby.go
+++ b/internal/program/lobby.go
@@ -120,7 +120,7 @@
 	l.mu.Lock()
 	leaving := l.leaving
 	l.mu.Unlock()
-	return leaving && c.Part(transport.ShutDown) && c.Await(1) == transport.ShutDown
+	return leaving && c.PartForGood(transport.ShutDown) && c.Await(1) == transport.ShutDown
 }
 
 // sweep lets go of those in a room longer than stay; one that has begun a message then has a rest to finish it. Once clients
--- a/internal/program/shutdown_test.go
+++ b/internal/program/shutdown_test.go
@@ -14,6 +14,7 @@
 // process is a driver in a process of its own.
 type process struct {
 	*driver
+	pid    int
 	signal func(syscall.Signal)
 	says   func(what string)
 	exited chan error
@@ -24,7 +25,7 @@
 	env := posting(t, d, change)
 	cmd, stderr := command(t, env)
 	require.NoError(t, cmd.Start())
-	p := &process{driver: &driver{address: env["GW_LISTEN"]}, exited: make(chan error, 1), text: stderr.String,
+	p := &process{driver: &driver{address: env["GW_LISTEN"]}, pid: cmd.Process.Pid, exited: make(chan error, 1), text: stderr.String,
 		signal: func(s syscall.Signal) { require.NoError(t, cmd.Process.Signal(s)) },
 		says: func(what string) {
 			eventually(t, what, func() bool { return strings.Contains(stderr.String(), what) })
--- a/internal/program/store_test.go
+++ b/internal/program/store_test.go
@@ -19,10 +19,11 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	members   []*replica
-	primary   *replica  // nil while the group has none
-	stoppedAt time.Time // the end of its log then
-	broken    []string  // what broke the rule on the age of data
-	served    int       // reads
+	primary   *replica               // nil while the group has none
+	stoppedAt time.Time              // the end of its log then
+	broken    []string               // what broke the rule on the age of data
+	served    int                    // reads
+	came      map[string][]time.Time // when requests came, by id; nil where nobody asks
 	bound     time.Duration
 	fresh     bool // reads have to see all writes: no member may get one once it has told that it is not the primary
 	strict    bool // a former primary is not excused until it has told that it is none
@@ -166,7 +167,7 @@
 			io.WriteString(s, row(r.load())+said("Z", "I"))
 			continue
 		}
-		r.record(time.Now(), strings.HasPrefix(body, "SELECT"))
+		r.record(time.Now(), body)
 		if !r.answer(s, strings.HasPrefix(body, "INSERT")) {
 			return
 		}
@@ -182,9 +183,14 @@
 }
 
 // record judges a statement that came just now.
-func (r *replica) record(came time.Time, read bool) {
+func (r *replica) record(came time.Time, statement string) {
+	read := strings.HasPrefix(statement, "SELECT")
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
+	if r.store.came != nil {
+		id := idOf(statement)
+		r.store.came[id] = append(r.store.came[id], came)
+	}
 	r.store.catchUp()
 	age := came.Sub(r.applied)
 	told := !r.toldAt.IsZero() && came.Sub(r.toldAt) > knownFrom
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -26,6 +26,7 @@
 	came    arrivals                              // of those that are held
 	wanted  int                                   // bytes that the reading goroutine waits for
 	parting End                                   // asked to end between messages
+	final   bool                                  // whatever may wait unread
 	parted  bool                                  // and nothing came before reading stopped
 	wasting int                                   // bytes that may still be read to be thrown away
 	heard   func(held Held) (gone bool, keep int) // looks at what is held while nobody takes it; nil else
@@ -129,14 +130,14 @@
 	}
 }
 
-// part settles a parting once reading was interrupted: what came first calls it off, also what waits unread, unless this
-// side shuts down: then nothing more is read that would have to be answered. The lock is held.
+// part settles a parting once reading was interrupted: what came first calls it off, also what waits unread, unless the parting is final. The lock is
+// held.
 func (c *Conn) part(err error) bool {
 	if c.parting == Open || c.parted {
 		return c.parted
 	}
 	interrupted := errors.Is(err, os.ErrDeadlineExceeded)
-	if c.in.Len() > 0 || interrupted && c.parting != ShutDown && !c.nothingWaits() {
+	if c.in.Len() > 0 || interrupted && !c.final && !c.nothingWaits() {
 		c.parting = Open
 		c.nc.SetReadDeadline(time.Time{})
 		return false
@@ -346,13 +347,19 @@
 func (c *Conn) held(at int, into []byte) bool { return c.in.peekAt(at, into) }
 
 // Part asks whoever reads from an idle connection to end it: reading stops, and Await gives the End. What comes
-// later stays unread, so that the peer can tell. It tells whether the connection was idle.
-func (c *Conn) Part(end End) bool {
+// later stays unread, so that the peer can tell; what came before, be it that nobody has read it yet, calls that off. It tells whether the connection
+// was idle.
+func (c *Conn) Part(end End) bool { return c.stop(end, false) }
+
+// PartForGood is Part that nothing calls off but what was read: it is for a peer that has had its last answer and was told so.
+func (c *Conn) PartForGood(end End) bool { return c.stop(end, true) }
+
+func (c *Conn) stop(end End, final bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.end == Open && c.in.Len() == 0 && c.wasting == 0
 	if idle {
-		c.parting = end
+		c.parting, c.final = end, final
 		c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
 	return idle
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -235,9 +235,17 @@
 
 const soonEnough = 2 * time.Second
 
-// Guards against a query that is lost since it came just as its connection was let go to make room: after reading was
-// interrupted, and before that is settled.
+// Guards against a query that is lost since it came just as its connection was let go, to make room or since its driver leaves: after reading was
+// interrupted, and before that is settled. A driver that had stood still for 130 ms as it let go of clients closed connections over queries that had
+// waited for as long: 18 requests beside 10,288 that were answered, on three of sixteen seeds of TestSignalsSoak. After the last answer nothing more is taken.
 func TestPartLeavesWhatWaits(t *testing.T) {
+	require.Equal(t, Open, partedOverAQuery(t, func(c *Conn) bool { return c.Part(Evicted) }))
+	require.Equal(t, Open, partedOverAQuery(t, func(c *Conn) bool { return c.Part(ShutDown) }))
+	require.Equal(t, ShutDown, partedOverAQuery(t, func(c *Conn) bool { return c.PartForGood(ShutDown) }))
+}
+
+// partedOverAQuery lets a connection go just before a query comes, and gives how that ends.
+func partedOverAQuery(t *testing.T, part func(c *Conn) bool) End {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
@@ -249,12 +257,12 @@
 	held := &heldBack{TCPConn: near.(*net.TCPConn), interrupted: make(chan struct{}), goes: make(chan struct{})}
 	c := NewConn(context.Background(), held, 1000, func() {})
 	defer c.Close(ShutDown)
-	require.True(t, c.Part(Evicted))
+	require.True(t, part(c))
 	<-held.interrupted
 	far.Write([]byte("q"))
 	require.Eventually(t, func() bool { return !c.nothingWaits() }, time.Second, time.Millisecond)
 	close(held.goes)
-	require.Equal(t, Open, c.Await(1))
+	return c.Await(1)
 }
 
 // heldBack tells late that reading was interrupted.
