--- a/internal/membership/recruit.go
+++ b/internal/membership/agent.go
@@ -16,8 +16,8 @@
 	"sedgespread/internal/versions"
 )
 
-// Recruit is a driver's side of the fleet: it asks for a number under its name, and then for its lease again and again.
-type Recruit struct {
+// Agent is a driver's side of the fleet: it asks for a number under its name, and then for its lease again and again.
+type Agent struct {
 	fleet   Coordinator
 	claim   roster.Claim
 	start   roster.Start // 0 while it has none
@@ -35,9 +35,9 @@
 type Fellows interface{ Unheard() []string }
 
 // Listens lets the fleet be told whom this driver does not hear. It is called before Run.
-func (r *Recruit) Listens(f Fellows) { r.fellows = f }
+func (r *Agent) Listens(f Fellows) { r.fellows = f }
 
-// Actor is what a recruit asks of the driver that it stands for.
+// Actor is what an agent asks of the driver that it stands for.
 type Actor interface {
 	// Sightings is what the fleet is told, and when that was, on the driver's clock.
 	Sightings() (seen []versions.Sighting, at int64)
@@ -51,16 +51,16 @@
 	LastTrail(seq uint64) audit.Part
 }
 
-// NewRecruit makes a driver's recruit, which asks any of the voters at some addresses.
-func NewRecruit(at []string, c roster.Claim, lease time.Duration, a Actor, log logrus.FieldLogger) *Recruit {
+// NewAgent makes a driver's agent, which asks any of the voters at some addresses.
+func NewAgent(at []string, c roster.Claim, lease time.Duration, a Actor, log logrus.FieldLogger) *Agent {
 	var token [16]byte
 	rand.Read(token[:])
 	c.Token = hex.EncodeToString(token[:])
-	return &Recruit{fleet: Dial(at...), claim: c, lease: lease, actor: a, log: log}
+	return &Agent{fleet: Dial(at...), claim: c, lease: lease, actor: a, log: log}
 }
 
 // Run asks until the context ends, and then tells that this driver leaves: it must not act any more by then.
-func (r *Recruit) Run(ctx context.Context) {
+func (r *Agent) Run(ctx context.Context) {
 	defer r.fleet.close()
 	defer r.leave()
 	for ctx.Err() == nil {
@@ -85,7 +85,7 @@
 }
 
 // note logs when no lease is to be had any more, why, and when there is one again.
-func (r *Recruit) note(ctx context.Context, err error) {
+func (r *Agent) note(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 // ask asks for a number, or for a lease, and tells whether there is something to report soon.
-func (r *Recruit) ask(ctx context.Context) (busy bool, err error) {
+func (r *Agent) ask(ctx context.Context) (busy bool, err error) {
 	wait := r.lease / waitShare
 	if r.lost || r.start == 0 {
 		wait = 0
@@ -130,7 +130,7 @@
 }
 
 // join takes a number, in two steps.
-func (r *Recruit) join(by context.Context) error {
+func (r *Agent) join(by context.Context) error {
 	var offered, taken roster.Start
 	if err := r.fleet.ask(by, "fleet/join", joining{Claim: r.claim}, &offered); err != nil {
 		return err
@@ -143,7 +143,7 @@
 	return nil
 }
 
-func (r *Recruit) renew(by context.Context, wait time.Duration) (busy bool, err error) {
+func (r *Agent) renew(by context.Context, wait time.Duration) (busy bool, err error) {
 	seen, at := r.actor.Sightings()
 	var g granted
 	asked := asking{Name: r.claim.Name, Token: r.claim.Token, Seen: seen, WaitMs: wait.Milliseconds()}
@@ -184,7 +184,7 @@
 
 // leave tells the fleet that this driver acts no more, with what is left to tell of its trail. Where that can't be told its
 // lease runs out.
-func (r *Recruit) leave() {
+func (r *Agent) leave() {
 	if r.start == 0 {
 		return
 	}
--- a/internal/membership/muster.go
+++ b/internal/membership/registration.go
@@ -26,10 +26,10 @@
 	"sedgespread/internal/versions"
 )
 
-// Muster is the fleet as a machine on the council's log: which drivers there are, and which versions they act on. It takes
+// Registration is the fleet as a machine on the council's log: which drivers there are, and which versions they act on. It takes
 // records in at every voter and decides at one.
-type Muster struct {
-	decisions[musterRecord]
+type Registration struct {
+	decisions[registrationRecord]
 	log   logrus.FieldLogger
 	clock clock.Clock
 	terms Terms
@@ -51,8 +51,8 @@
 	silent   map[string]bool
 }
 
-// MusterName is what the fleet's records are marked with in a council's log.
-const MusterName = "fleet"
+// RegistrationName is what the fleet's records are marked with in a council's log.
+const RegistrationName = "fleet"
 
 // Terms are what the operator's file says of the fleet.
 type Terms struct {
@@ -61,8 +61,8 @@
 	Most   float64       // the part of the drivers that may be shut out at once
 }
 
-// musterRecord is one of the two.
-type musterRecord struct {
+// registrationRecord is one of the two.
+type registrationRecord struct {
 	Roster  *roster.Record   `json:"roster,omitempty"`
 	Version *versions.Record `json:"version,omitempty"`
 }
@@ -76,20 +76,22 @@
 // leaseMargin is the part of a lease by which it is waited for longer than it lasts: clocks differ in rate by less.
 const leaseMargin = 50
 
-// NewMuster makes the fleet's machine; Join is its place in the council.
-func NewMuster(terms Terms, log logrus.FieldLogger) *Muster {
-	return &Muster{log: log, clock: clock.New(), terms: terms, changed: newBell(), versions: versions.NewLedger(),
+// NewRegistration makes the fleet's machine; Join is its place in the council.
+func NewRegistration(terms Terms, log logrus.FieldLogger) *Registration {
+	return &Registration{log: log, clock: clock.New(), terms: terms, changed: newBell(), versions: versions.NewLedger(),
 		apart: map[versions.Thing]bool{}, trails: audit.NewCollection(mostEntries), pacer: versions.NewPacer(textRate, textBurst),
 		roster: roster.New(int64(terms.Lease), int64(terms.Lease)/leaseMargin, int64(terms.Forget))}
 }
 
-// Join says where the council is, before anything is asked of the muster.
-func (m *Muster) Join(c *chamber.Chamber) { m.decisions.ledger = together[musterRecord]{c, MusterName} }
+// Join says where the council is, before anything is asked of the registration.
+func (m *Registration) Join(c *chamber.Chamber) {
+	m.decisions.ledger = together[registrationRecord]{c, RegistrationName}
+}
 
-func (m *Muster) now() int64 { return m.clock.Now() }
+func (m *Registration) now() int64 { return m.clock.Now() }
 
 // Apply takes in records that the council has agreed on.
-func (m *Muster) Apply(data []byte) {
+func (m *Registration) Apply(data []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := applied(data, m.apply); err != nil {
@@ -106,14 +108,14 @@
 // understood tells whether this build knows every field of some records. Those of which it does not are kept as they came,
 // for the newer build that will read the next snapshot.
 func understood(data []byte) bool {
-	var records []musterRecord
+	var records []registrationRecord
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	return d.Decode(&records) == nil
 }
 
 // apply lets a record count. The lock is held.
-func (m *Muster) apply(r musterRecord) error {
+func (m *Registration) apply(r registrationRecord) error {
 	if k := r.Roster; k != nil {
 		if err := m.roster.Apply(m.now(), *k); err != nil {
 			return err
@@ -140,14 +142,14 @@
 }
 
 // Snapshot is all that was recorded.
-func (m *Muster) Snapshot() ([]byte, error) {
+func (m *Registration) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return json.Marshal(past{m.roster.Past(), m.versions.Past(), m.strange})
 }
 
 // Restore takes over a snapshot.
-func (m *Muster) Restore(data []byte) error {
+func (m *Registration) Restore(data []byte) error {
 	var p past
 	if err := json.Unmarshal(data, &p); err != nil {
 		return err
@@ -162,7 +164,7 @@
 }
 
 // Lead begins to decide.
-func (m *Muster) Lead() {
+func (m *Registration) Lead() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.roster.TakeOver(m.now())
@@ -170,14 +172,14 @@
 }
 
 // Run takes versions on until the context ends.
-func (m *Muster) Run(ctx context.Context) { again(ctx, m.step) }
+func (m *Registration) Run(ctx context.Context) { again(ctx, m.step) }
 
 // lookEvery is how often what drivers act on by themselves is looked at.
 const lookEvery = int64(100 * time.Millisecond)
 
 // look sees what drivers act on that the council does not decide, and logs when some stay behind for longer than a lease, or
 // act on different things of one name, and when that is over. The lock is held.
-func (m *Muster) look() {
+func (m *Registration) look() {
 	now := m.now()
 	if now-m.looked < lookEvery {
 		return
@@ -202,7 +204,7 @@
 
 // listen takes stock of whom fellows do not hear, and logs when that has become most of them, and when it is over. The lock is
 // held.
-func (m *Muster) listen(now int64) {
+func (m *Registration) listen(now int64) {
 	m.doubts = m.roster.Doubts(now)
 	silent := map[string]bool{}
 	for _, d := range m.doubts {
@@ -222,14 +224,14 @@
 }
 
 // step takes all on as far as it can go now.
-func (m *Muster) step(ctx context.Context) {
+func (m *Registration) step(ctx context.Context) {
 	if m.decisions.ledger.acts() {
 		m.mu.Lock()
 		m.look()
 		m.mu.Unlock()
 	}
 	for m.decisions.ledger.acts() {
-		recorded, err := m.decide(ctx, &m.mu, func() ([]musterRecord, error) {
+		recorded, err := m.decide(ctx, &m.mu, func() ([]registrationRecord, error) {
 			present := m.present()
 			if records := m.versions.Step(m.now(), present); len(records) > 0 {
 				return ofVersions(records), nil
@@ -243,22 +245,22 @@
 	}
 }
 
-func ofVersions(records []versions.Record) (all []musterRecord) {
+func ofVersions(records []versions.Record) (all []registrationRecord) {
 	for _, k := range records {
-		all = append(all, musterRecord{Version: &k})
+		all = append(all, registrationRecord{Version: &k})
 	}
 	return all
 }
 
-func ofRoster(records []roster.Record) (all []musterRecord) {
+func ofRoster(records []roster.Record) (all []registrationRecord) {
 	for _, k := range records {
-		all = append(all, musterRecord{Roster: &k})
+		all = append(all, registrationRecord{Roster: &k})
 	}
 	return all
 }
 
 // present is all drivers as versions see them. The lock is held.
-func (m *Muster) present() (all []versions.Present) {
+func (m *Registration) present() (all []versions.Present) {
 	now := m.now()
 	for _, d := range m.roster.Drivers() {
 		may := m.roster.May(now, d.Name) && !planted.Is(planted.Straggler)
@@ -274,7 +276,7 @@
 
 // stragglers proposes to shut out who has held a version back for too long, unless that were too many: then the version is
 // to blame, and nothing happens until a person sees to it. The lock is held.
-func (m *Muster) stragglers(present []versions.Present) []roster.Record {
+func (m *Registration) stragglers(present []versions.Present) []roster.Record {
 	for _, b := range m.versions.Behind(m.now(), present) {
 		if !b.Over {
 			continue
@@ -325,14 +327,14 @@
 }
 
 // Join offers a start its number, or lets it take it.
-func (m *Muster) join(ctx context.Context, j joining) (roster.Start, error) {
+func (m *Registration) join(ctx context.Context, j joining) (roster.Start, error) {
 	m.mu.Lock()
 	offered, err := m.roster.Offer(j.Claim)
 	m.mu.Unlock()
 	if err != nil || j.Start == 0 {
 		return offered, told(err)
 	}
-	_, err = m.decide(ctx, &m.mu, func() ([]musterRecord, error) {
+	_, err = m.decide(ctx, &m.mu, func() ([]registrationRecord, error) {
 		records, err := m.roster.Confirm(m.now(), j.Claim, j.Start)
 		return ofRoster(records), told(err)
 	})
@@ -361,7 +363,7 @@
 }
 
 // renew gives a lease, at once where there are orders and else once something has changed or the wait is over.
-func (m *Muster) renew(ctx context.Context, a asking) (granted, error) {
+func (m *Registration) renew(ctx context.Context, a asking) (granted, error) {
 	m.mu.Lock()
 	if !m.decisions.ledger.acts() {
 		m.mu.Unlock()
@@ -400,7 +402,7 @@
 
 // paced is after how long a driver should ask again for texts that it needs, 0 where it may have them now. A driver that
 // has a lease keeps it meanwhile. The lock is held.
-func (m *Muster) paced(who versions.Sign, orders []versions.Order) (wait int64) {
+func (m *Registration) paced(who versions.Sign, orders []versions.Order) (wait int64) {
 	bytes := 0
 	for _, o := range orders {
 		bytes += len(o.Text) + len(o.Before)
@@ -435,8 +437,8 @@
 }
 
 // Grant does what an operator asks for.
-func (m *Muster) grant(ctx context.Context, w Wish) error {
-	_, err := m.decide(ctx, &m.mu, func() ([]musterRecord, error) {
+func (m *Registration) grant(ctx context.Context, w Wish) error {
+	_, err := m.decide(ctx, &m.mu, func() ([]registrationRecord, error) {
 		now := m.now()
 		switch p := w.Propose; {
 		case p != nil:
@@ -480,7 +482,7 @@
 }
 
 // Fleet tells how the fleet stands.
-func (m *Muster) Fleet() Fleet {
+func (m *Registration) Fleet() Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
@@ -500,16 +502,16 @@
 }
 
 // leave takes in that a driver leaves, with what is left to tell of its trail.
-func (m *Muster) leave(ctx context.Context, a asking) error {
-	_, err := m.decide(ctx, &m.mu, func() ([]musterRecord, error) {
+func (m *Registration) leave(ctx context.Context, a asking) error {
+	_, err := m.decide(ctx, &m.mu, func() ([]registrationRecord, error) {
 		m.hear(a.Trails, true)
 		return ofRoster(m.roster.Leave(m.now(), a.Name, a.Token)), nil
 	})
 	return err
 }
 
-// Handle lets the muster answer drivers and operators, or pass on what they ask to the one that decides.
-func (m *Muster) Handle(mux *http.ServeMux) {
+// Handle lets the registration answer drivers and operators, or pass on what they ask to the one that decides.
+func (m *Registration) Handle(mux *http.ServeMux) {
 	handle := func(what string, answer http.HandlerFunc) {
 		mux.Handle("POST /v1/fleet/"+what, m.decisions.ledger.leader(answer))
 	}
--- a/internal/membership/muster_test.go
+++ b/internal/membership/registration_test.go
@@ -20,49 +20,49 @@
 	"sedgespread/internal/versions"
 )
 
-// camp is a council of one voter with a fleet's machine.
-type camp struct {
-	t      *testing.T
-	at     string
-	disk   string
-	terms  Terms
-	muster *Muster
-	stop   func()
+// testCouncil is a council of one voter with a fleet's machine.
+type testCouncil struct {
+	t            *testing.T
+	at           string
+	disk         string
+	terms        Terms
+	registration *Registration
+	stop         func()
 }
 
-func newCamp(t *testing.T, most float64) *camp {
+func newTestCouncil(t *testing.T, most float64) *testCouncil {
 	at, err := net.Listen("tcp", "127.0.0.2:0")
 	require.NoError(t, err)
 	at.Close()
-	c := &camp{t: t, at: at.Addr().String(), disk: filepath.Join(t.TempDir(), "disk"),
+	c := &testCouncil{t: t, at: at.Addr().String(), disk: filepath.Join(t.TempDir(), "disk"),
 		terms: Terms{Lease: 400 * time.Millisecond, Forget: time.Second, Most: most}}
 	c.start()
 	t.Cleanup(func() { c.stop() })
 	return c
 }
 
-func (c *camp) start() {
-	c.muster = NewMuster(c.terms, quiet())
-	require.NoError(c.t, c.muster.Keep(c.disk+".trails"))
+func (c *testCouncil) start() {
+	c.registration = NewRegistration(c.terms, quiet())
+	require.NoError(c.t, c.registration.Keep(c.disk+".trails"))
 	pace := council.Pace{Tick: int64(5 * time.Millisecond), Election: 10, Drift: 0.01}
-	k, err := chamber.Open(1, chamber.Peers{1: c.at}, false, c.disk, pace, map[string]chamber.Machine{MusterName: c.muster}, quiet())
+	k, err := chamber.Open(1, chamber.Peers{1: c.at}, false, c.disk, pace, map[string]chamber.Machine{RegistrationName: c.registration}, quiet())
 	require.NoError(c.t, err)
-	c.muster.Join(k)
+	c.registration.Join(k)
 	l, err := net.Listen("tcp", c.at)
 	require.NoError(c.t, err)
 	mux := http.NewServeMux()
-	c.muster.Handle(mux)
+	c.registration.Handle(mux)
 	ctx, stop := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Add(3)
 	go func() { defer done.Done(); k.Run(ctx) }()
-	go func() { defer done.Done(); c.muster.Run(ctx) }()
+	go func() { defer done.Done(); c.registration.Run(ctx) }()
 	go func() { defer done.Done(); jsonhttp.Serve(ctx, l, mux) }()
 	c.stop = func() { stop(); done.Wait() }
 }
 
-// soldier is a driver without RPCs but those that a test begins.
-type soldier struct {
+// fakeDriver is a driver without RPCs but those that a test begins.
+type fakeDriver struct {
 	mu     sync.Mutex
 	holder *versions.Holder
 	trail  *audit.Trail
@@ -70,15 +70,15 @@
 	texts  []string
 }
 
-func (s *soldier) now() int64 { return time.Now().UnixNano() }
+func (s *fakeDriver) now() int64 { return time.Now().UnixNano() }
 
-func (s *soldier) Sightings() ([]versions.Sighting, int64) {
+func (s *fakeDriver) Sightings() ([]versions.Sighting, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.holder.Sightings(), s.now()
 }
 
-func (s *soldier) Granted(asked int64, g versions.Grant) {
+func (s *fakeDriver) Granted(asked int64, g versions.Grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range s.holder.Granted(asked, g) {
@@ -89,7 +89,7 @@
 	}
 }
 
-func (s *soldier) Joined(who versions.Sign, token string) {
+func (s *fakeDriver) Joined(who versions.Sign, token string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.trail == nil {
@@ -97,7 +97,7 @@
 	}
 }
 
-func (s *soldier) Trail(seq uint64, most int) audit.Part {
+func (s *fakeDriver) Trail(seq uint64, most int) audit.Part {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.trail == nil {
@@ -106,7 +106,7 @@
 	return s.trail.Since(seq, most)
 }
 
-func (s *soldier) LastTrail(seq uint64) audit.Part {
+func (s *fakeDriver) LastTrail(seq uint64) audit.Part {
 	s.mu.Lock()
 	s.trail.Flush(s.now())
 	s.mu.Unlock()
@@ -114,7 +114,7 @@
 }
 
 // acts does one RPC, and tells on which version.
-func (s *soldier) acts(rpc string) versions.Number {
+func (s *fakeDriver) acts(rpc string) versions.Number {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n, may := s.holder.Begin(s.now(), "x")
@@ -127,10 +127,10 @@
 	return n
 }
 
-// enlists starts a driver; what it gives ends it in good order.
-func (c *camp) enlists(name string, level int) (s *soldier, leave func()) {
-	s = &soldier{holder: versions.NewHolder()}
-	r := NewRecruit([]string{c.at}, roster.Claim{Name: name, At: "at", Build: "b", Level: level}, c.terms.Lease, s, quiet())
+// joins starts a driver; what it gives ends it in good order.
+func (c *testCouncil) joins(name string, level int) (s *fakeDriver, leave func()) {
+	s = &fakeDriver{holder: versions.NewHolder()}
+	r := NewAgent([]string{c.at}, roster.Claim{Name: name, At: "at", Build: "b", Level: level}, c.terms.Lease, s, quiet())
 	ctx, stop := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Add(1)
@@ -140,11 +140,11 @@
 	return s, leave
 }
 
-func (c *camp) eventually(what string, ok func(f *Fleet) bool) {
+func (c *testCouncil) eventually(what string, ok func(f *Fleet) bool) {
 	c.t.Helper()
 	var f Fleet
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
-		if f = c.muster.Fleet(); ok(&f) {
+		if f = c.registration.Fleet(); ok(&f) {
 			return
 		}
 	}
@@ -161,7 +161,7 @@
 }
 
 // wish asks again while nobody acts for the council: how long its disk takes is not what is tested.
-func (c *camp) wish(w Wish) (err error) {
+func (c *testCouncil) wish(w Wish) (err error) {
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
 		if err = Dial(c.at).Wish(context.Background(), w); !jsonhttp.Elsewhere(err) {
 			break
@@ -171,14 +171,14 @@
 }
 
 // acts lets a driver do one RPC, once it has a lease.
-func (c *camp) acts(s *soldier, rpc string) (n versions.Number) {
+func (c *testCouncil) acts(s *fakeDriver, rpc string) (n versions.Number) {
 	for begun := time.Now(); n == 0 && time.Since(begun) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
 		n = s.acts(rpc)
 	}
 	return n
 }
 
-func (c *camp) propose(text string) error {
+func (c *testCouncil) propose(text string) error {
 	p := versions.Plan{Tell: int64(300 * time.Millisecond), Adopt: int64(300 * time.Millisecond), Close: int64(time.Second)}
 	return c.wish(Wish{Propose: &Proposal{Thing: "x", Text: text, Plan: p}})
 }
@@ -190,9 +190,9 @@
 // Guards against a fleet that does not come to act on one version, over a restart of the council too, and an audit that does
 // not say who did.
 func TestAFleetActsOnOneVersion(t *testing.T) {
-	c := newCamp(t, 0.5)
-	a, _ := c.enlists("a", 1)
-	b, leave := c.enlists("b", 1)
+	c := newTestCouncil(t, 0.5)
+	a, _ := c.joins("a", 1)
+	b, leave := c.joins("b", 1)
 	c.eventually("they join", func(f *Fleet) bool { return f.state("a") == roster.Present && f.state("b") == roster.Present })
 	require.NoError(t, c.propose("one"))
 	require.ErrorContains(t, c.propose("two"), "is under way")
@@ -229,7 +229,7 @@
 
 // Guards against what a newer build recorded and an older one drops.
 func TestRecordsOfANewerBuild(t *testing.T) {
-	m := NewMuster(Terms{Lease: time.Second}, quiet())
+	m := NewRegistration(Terms{Lease: time.Second}, quiet())
 	m.Apply([]byte(`[{"roster":{"kind":"joins","name":"a","start":1,"claim":{"name":"a","token":"x","colour":"green"},"when":1}}]`))
 	m.Apply([]byte(`[{"roster":{"kind":"leaves","name":"a","start":1,"when":2}}]`))
 	m.Apply([]byte(`[{"garden":{"kind":"rose"}}]`))
@@ -237,7 +237,7 @@
 	require.Equal(t, roster.Left, d.State, "what is understood counts")
 	text, err := m.Snapshot()
 	require.NoError(t, err)
-	next := NewMuster(Terms{Lease: time.Second}, quiet())
+	next := NewRegistration(Terms{Lease: time.Second}, quiet())
 	require.NoError(t, next.Restore(text))
 	again, err := next.Snapshot()
 	require.NoError(t, err)
@@ -249,13 +249,13 @@
 
 // Guards against two of one name that take it from one another again and again.
 func TestTwoOfOneName(t *testing.T) {
-	c := newCamp(t, 0.5)
-	earlier, _ := c.enlists("a", 1)
+	c := newTestCouncil(t, 0.5)
+	earlier, _ := c.joins("a", 1)
 	c.eventually("it joins", func(f *Fleet) bool { return len(f.Drivers) == 1 && f.Drivers[0].May })
-	later, _ := c.enlists("a", 1)
+	later, _ := c.joins("a", 1)
 	c.eventually("the later one has the name", func(f *Fleet) bool { return f.Drivers[0].Start == 2 })
 	time.Sleep(2 * c.terms.Lease)
-	require.EqualValues(t, 2, c.muster.Fleet().Drivers[0].Start)
+	require.EqualValues(t, 2, c.registration.Fleet().Drivers[0].Start)
 	require.Zero(t, earlier.acts("r"))
 	require.EqualValues(t, versions.Origin, c.acts(later, "r"))
 	err := Dial(c.at).ask(context.Background(), "fleet/renew", asking{Name: "a", Token: "x"}, nil)
@@ -265,10 +265,10 @@
 
 // Guards against a driver that holds a version back for ever, and against a version that shuts out everybody.
 func TestStragglers(t *testing.T) {
-	c := newCamp(t, 0.4)
-	var all []*soldier
+	c := newTestCouncil(t, 0.4)
+	var all []*fakeDriver
 	for _, name := range []string{"a", "b", "c"} {
-		s, _ := c.enlists(name, 1)
+		s, _ := c.joins(name, 1)
 		all = append(all, s)
 	}
 	c.eventually("they join", func(f *Fleet) bool { return len(f.Drivers) == 3 })
@@ -292,7 +292,7 @@
 	require.NoError(t, c.propose("two"))
 	c.eventually("it waits", func(f *Fleet) bool { return len(f.Behind) == 1 && f.Behind[0].Over })
 	time.Sleep(100 * time.Millisecond)
-	f := c.muster.Fleet()
+	f := c.registration.Fleet()
 	require.Equal(t, roster.Present, f.state("a"), "too many: nobody is shut out")
 	require.EqualValues(t, 2, c.acts(all[0], "r"), "all act on the older")
 	require.NoError(t, c.wish(Wish{CallOff: "x", Why: "wrong"}))
@@ -301,15 +301,15 @@
 
 // Guards against a build that is too old and acts, and an error that does not say what helps.
 func TestLevelsOfBuilds(t *testing.T) {
-	c := newCamp(t, 0.5)
-	c.enlists("a", 2)
-	old, leave := c.enlists("b", 1)
+	c := newTestCouncil(t, 0.5)
+	c.joins("a", 2)
+	old, leave := c.joins("b", 1)
 	c.eventually("they join", func(f *Fleet) bool { return len(f.Drivers) == 2 })
 	require.ErrorContains(t, c.wish(Wish{Raise: 2}), "knows levels up to 1 only")
 	leave()
 	c.eventually("it has left, or is gone", func(f *Fleet) bool { return f.state("b") != roster.Present })
 	require.NoError(t, c.wish(Wish{Raise: 2}))
-	old, _ = c.enlists("b", 1)
+	old, _ = c.joins("b", 1)
 	time.Sleep(c.terms.Lease)
 	require.Zero(t, old.acts("r"))
 	err := Dial(c.at).ask(context.Background(), "fleet/join", joining{Claim: roster.Claim{Name: "b", Token: "t", Build: "b0", Level: 1}}, nil)
@@ -352,7 +352,7 @@
 // Guards against the last of a trail that is lost as its driver leaves: the voter that decides by then may hold less than the one before, and
 // what is left comes behind a hole. The audit said nothing of that time, since who leaves has told all.
 func TestALeavingDriverIsHeardBehindAHole(t *testing.T) {
-	m := NewMuster(Terms{Lease: time.Second}, quiet())
+	m := NewRegistration(Terms{Lease: time.Second}, quiet())
 	who := versions.Sign{Name: "a", Start: 1}
 	trail := audit.NewTrail(m.now(), who, "x", 100, int64(time.Hour))
 	for range 5 {
@@ -371,7 +371,7 @@
 // Guards against trails that are kept in memory alone for good, since the disk refused them for a moment.
 func TestTrailsAreKeptOnceTheDiskAllows(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "trails")
-	m := NewMuster(Terms{Lease: time.Second}, quiet())
+	m := NewRegistration(Terms{Lease: time.Second}, quiet())
 	require.NoError(t, m.Keep(path))
 	trail := audit.NewTrail(m.now(), versions.Sign{Name: "a", Start: 1}, "x", 100, 1)
 	tells := func(count int) {
@@ -388,7 +388,7 @@
 	m.unkept -= renewShelfEvery
 	tells(2)
 	require.Zero(t, m.unkept)
-	next := NewMuster(Terms{Lease: time.Second}, quiet())
+	next := NewRegistration(Terms{Lease: time.Second}, quiet())
 	require.NoError(t, next.Keep(path))
 	require.Equal(t, m.trails.Parts(), next.trails.Parts())
 }
--- a/internal/membership/trails.go
+++ b/internal/membership/trails.go
@@ -26,7 +26,7 @@
 }
 
 // Keep lets trails be kept in a file, and takes in those that stand there.
-func (m *Muster) Keep(path string) error {
+func (m *Registration) Keep(path string) error {
 	s, parts, spoilt, err := shelf.Open(path, shelf.Most)
 	if err != nil {
 		return err
@@ -42,7 +42,7 @@
 }
 
 // hear takes in what a driver tells of its trail, the last of it where it leaves: that is taken also behind a hole. The lock is held.
-func (m *Muster) hear(parts []audit.Part, last bool) {
+func (m *Registration) hear(parts []audit.Part, last bool) {
 	take := m.trails.Take
 	if last {
 		take = m.trails.TakeLast
@@ -59,7 +59,7 @@
 const renewShelfEvery = int64(time.Second)
 
 // keep writes a part down. Where that fails, all that is held is written anew as soon as the disk allows. The lock is held.
-func (m *Muster) keep(p audit.Part) {
+func (m *Registration) keep(p audit.Part) {
 	if m.unkept != 0 && m.now()-m.unkept < renewShelfEvery {
 		return
 	}
@@ -82,14 +82,14 @@
 }
 
 // trailsHeld are those that this voter was told while it decided.
-func (m *Muster) trailsHeld() Trails {
+func (m *Registration) trailsHeld() Trails {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return Trails{Parts: m.trails.Parts(), Faults: m.trails.Faults()}
 }
 
 // handleTrails lets this voter tell what it holds, whoever decides.
-func (m *Muster) handleTrails(mux *http.ServeMux) {
+func (m *Registration) handleTrails(mux *http.ServeMux) {
 	mux.Handle("POST /v1/fleet/trails", jsonhttp.Tells(func(context.Context) (Trails, error) { return m.trailsHeld(), nil }))
 }
 
--- a/internal/program/cells.go
+++ b/internal/program/cells.go
@@ -29,22 +29,22 @@
 // confinement is what the operator's file adds to a driver: cells, the coordinator where it is here, and the operator's
 // commands. Where there is no file there is none of it.
 type confinement struct {
-	p       *Program
-	chair   *membership.Chair
-	journal *store.Journal
-	chamber *chamber.Chamber    // nil where this is no voter of a council
-	muster  *membership.Muster  // the fleet's machine there, nil for none
-	recruit *membership.Recruit // nil where nothing has versions
-	ring    *gossip.Ring        // nil where drivers do not gossip
-	heed    sync.Once
-	origin  *operator.Orders                // as this driver started
-	number  chan uint64                     // takes that of this start once it has one
-	heeds   chan struct{}                   // closed once it acts on versions, if it needs to
-	desk    net.Listener                    // for commands, nil for none
-	seat    net.Listener                    // for drivers and voters, nil for none
-	acted   atomic.Pointer[operator.Orders] // what is acted on now
-	leased  chan struct{}                   // closed once it has had a lease, if it needs one
-	once    sync.Once
+	p            *Program
+	chair        *membership.Chair
+	journal      *store.Journal
+	chamber      *chamber.Chamber         // nil where this is no voter of a council
+	registration *membership.Registration // the fleet's machine there, nil for none
+	agent        *membership.Agent        // nil where nothing has versions
+	ring         *gossip.Ring             // nil where drivers do not gossip
+	heed         sync.Once
+	origin       *operator.Orders                // as this driver started
+	number       chan uint64                     // takes that of this start once it has one
+	heeds        chan struct{}                   // closed once it acts on versions, if it needs to
+	desk         net.Listener                    // for commands, nil for none
+	seat         net.Listener                    // for drivers and voters, nil for none
+	acted        atomic.Pointer[operator.Orders] // what is acted on now
+	leased       chan struct{}                   // closed once it has had a lease, if it needs one
+	once         sync.Once
 }
 
 // confine opens what the operator's file asks for. Nothing serves yet.
@@ -136,10 +136,10 @@
 		machines[membership.MachineName] = c.chair.Place()
 	}
 	if o.Fleet != nil {
-		c.muster = membership.NewMuster(membership.Terms{Lease: millis(o.Fleet.LeaseMs), Forget: time.Duration(o.ForgetS()) * time.Second,
+		c.registration = membership.NewRegistration(membership.Terms{Lease: millis(o.Fleet.LeaseMs), Forget: time.Duration(o.ForgetS()) * time.Second,
 			Most: o.Fleet.MostShutOut}, c.p.log)
-		machines[membership.MusterName] = c.muster
-		if err := c.muster.Keep(k.Disk + ".trails"); err != nil {
+		machines[membership.RegistrationName] = c.registration
+		if err := c.registration.Keep(k.Disk + ".trails"); err != nil {
 			return o.Reject("council.disk", err)
 		}
 	}
@@ -154,8 +154,8 @@
 	if c.chair != nil {
 		c.chair.Join(c.chamber)
 	}
-	if c.muster != nil {
-		c.muster.Join(c.chamber)
+	if c.registration != nil {
+		c.registration.Join(c.chamber)
 	}
 	c.seat, err = c.open("council.listen", o.SeatAt())
 	return err
@@ -201,11 +201,11 @@
 	if k := c.orders().Cells.GetCoordination(); k != nil {
 		tasks.Go(func() error { c.follow(ctx, millis(k.LeaseMs)); return nil })
 	}
-	if c.muster != nil {
-		tasks.Go(func() error { c.muster.Run(ctx); return nil })
+	if c.registration != nil {
+		tasks.Go(func() error { c.registration.Run(ctx); return nil })
 	}
-	if c.recruit != nil {
-		tasks.Go(func() error { c.recruit.Run(ctx); return nil })
+	if c.agent != nil {
+		tasks.Go(func() error { c.agent.Run(ctx); return nil })
 	}
 	if c.ring != nil {
 		tasks.Go(func() error { c.ring.Run(ctx); return nil })
@@ -217,7 +217,7 @@
 // else by its clock.
 func (c *confinement) follow(ctx context.Context, lease time.Duration) {
 	incarnation := uint64(clock.New().Now())
-	if c.recruit != nil {
+	if c.agent != nil {
 		select {
 		case incarnation = <-c.number:
 		case <-ctx.Done():
@@ -233,8 +233,8 @@
 	if c.chair != nil {
 		c.chair.Handle(mux)
 	}
-	if c.muster != nil {
-		c.muster.Handle(mux)
+	if c.registration != nil {
+		c.registration.Handle(mux)
 	}
 	if c.chamber != nil {
 		c.chamber.Handle(mux)
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -39,7 +39,7 @@
 	c.p.router.Observe(versions.Program, Level, build())
 	c.p.router.Observe(versions.File, 1, membership.Digest(c.orders().Common())[:digestShown])
 	claim := roster.Claim{Name: c.p.posting.Name, At: c.p.posting.Listen, Build: build(), Level: Level, Votes: c.orders().Council.GetId() != 0}
-	c.recruit = membership.NewRecruit(c.orders().VotersAt(), claim, millis(c.orders().Fleet.LeaseMs), c, c.p.log)
+	c.agent = membership.NewAgent(c.orders().VotersAt(), claim, millis(c.orders().Fleet.LeaseMs), c, c.p.log)
 	g := c.orders().Fleet.Gossip
 	if g == nil {
 		return nil
@@ -47,7 +47,7 @@
 	if c.ring, err = gossip.Listen(c.p.posting.Name, g.Listen, g.Fellow, millis(c.orders().ProbeMs()), c.p.log); err != nil {
 		return c.orders().Reject("fleet.gossip.listen", err)
 	}
-	c.recruit.Listens(c.ring)
+	c.agent.Listens(c.ring)
 	return nil
 }
 
