--- a/rules/rules.go
+++ b/rules/rules.go
@@ -149,12 +149,12 @@
 	}
 	c.held = false
 	number, counted, wait := 0, true, d.tooLong(c, m)
-	before := d.borne[m] + int64(d.out[m]) // answers to come first where none overtakes another
+	before := d.served[m] + int64(d.out[m]) // answers to come first where none overtakes another
 	number = d.host.Attempt(c.ID, d.ids[m], d.patience(c, m), func(r Result) {
 		if r.Proof != Started && counted {
 			d.out[m]--
 		}
-		d.judge(c, m, now, r, r.Took >= wait && d.borne[m] < before+overtakers)
+		d.judge(c, m, now, r, r.Took >= wait && d.served[m] < before+overtakers)
 		d.settle(c, m, now, number, r)
 	})
 	c.out = append(c.out, number)
--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -41,7 +41,7 @@
 
 // observeLoad notes that a member has served an attempt.
 func (d *Driver) observeLoad(m member) {
-	d.borne[m]++
+	d.served[m]++
 	if !d.warm(m) {
 		return
 	}
@@ -91,10 +91,10 @@
 	}
 	now, g, started := d.host.Now(), d.of[m], d.startOf(m)
 	able := d.Share + (1-d.Share)*float64(now-started)/float64(d.WarmAfter)
-	span := min(savedUp*g.gap, float64(now-max(d.fed[m], started))) // since the last lot
-	d.fed[m] = now
-	bore := float64(d.borne[m]) / float64(max(10*sec, now-d.begun)) // itself, in the mean
-	rate := max(bore, d.loadPerSize(g)*d.size[m])
+	span := min(savedUp*g.gap, float64(now-max(d.lastLot[m], started))) // since the last lot
+	d.lastLot[m] = now
+	own := float64(d.served[m]) / float64(max(10*sec, now-d.begun)) // what it served itself, in the mean
+	rate := max(own, d.loadPerSize(g)*d.size[m])
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -58,7 +58,8 @@
 // warming is the budget of members that have just started.
 type warming struct {
 	SlowStart
-	fed, borne []int64 // fed: when the last lot was drawn; borne: RPCs that were ok
+	lastLot []int64 // when the last lot was drawn for it
+	served  []int64 // requests that it answered ok
 	listing    []int64 // start by the list, on the store's clock
 	restarted  []int64 // start by a silence that is taken for a restart, on the driver's clock
 	guessed    []int64 // when that silence began
@@ -137,7 +138,7 @@
 	blank(m, &d.zone)
 	blank(m, &d.state)
 	blank(m, &d.known)
-	blank(m, &d.heard, &d.asking, &d.lookedAt, &d.aside, &d.fed, &d.answered, &d.timed, &d.borne, &d.since, &d.wrong,
+	blank(m, &d.heard, &d.asking, &d.lookedAt, &d.aside, &d.lastLot, &d.answered, &d.timed, &d.served, &d.since, &d.wrong,
 		&d.listing, &d.restarted, &d.guessed, &d.opened)
 	blank(m, &d.silent, &d.back, &d.untold, &d.kept, &d.erred)
 	blank(m, &d.out, &d.lost, &d.refused)
