Answers that state themselves that they are too old for their read are not passed on

Cause: a read that went to a former primary on its last word, where nothing else can be asked, was answered to its client whatever the answer said of itself. Mend: TooOld (rules) judges what an answer states, routing asks it before a client gets the answer. A read that may be made again goes to another member, another one is aborted.

--- a/internal/routing/trip.go
+++ b/internal/routing/trip.go
@@ -194,6 +194,9 @@
 	c.next = nil
 	t.out--
 	v := o.verdict()
+	if v.proof == rules.OK && t.r.driver.TooOld(t.id, o.observation(), c.sent) {
+		v = verdict{rules.MayHaveRun, rules.Missed}
+	}
 	if t.pass != nil {
 		t.returned(c, v, o)
 	}
--- a/rules/freshness.go
+++ b/rules/freshness.go
@@ -143,6 +143,25 @@
 	d.probe(m)
 }
 
+// TooOld tells whether an answer to a read shows by what it states of its member that its data was too old for the read when the attempt was made.
+// Guards against a former primary that got the read on its last word, or on one that crossed the read: what it answers earns nothing, and another
+// member may serve. Positions are rounded, and clocks differ a little: only what is certain counts.
+func (d *Driver) TooOld(id RPCID, s Observation, made int64) bool {
+	c := d.calls[id]
+	if c == nil {
+		return false
+	}
+	switch ahead, known := d.clock.offset(); c.method.Need {
+	case NeedFresh:
+		return s.Role == RoleReplica
+	case NeedSession:
+		return s.Position != 0 && s.Position+rounding < c.Token
+	case NeedBounded:
+		return s.Position != 0 && known && s.Position+clockTolerance < made+ahead-c.method.Bound
+	}
+	return false
+}
+
 // Basis tells for the log why an attempt at a member may begin.
 func (d *Driver) Basis(id RPCID, to MemberID) string {
 	c := d.calls[id]
--- a/rules/scenario_test.go
+++ b/rules/scenario_test.go
@@ -404,6 +404,10 @@
 			may = p.d.May(rules.RPCID(p.number(w[1])), to)
 		}
 		require.Equal(p.t, w[3] == "yes", may, p.at)
+	case "too-old": // whether what an answer to an RPC's last attempt states shows that it is: "too-old 1 replica 2s yes"
+		id := rules.RPCID(p.number(w[1]))
+		sent := p.rpcs[id].sentAt
+		require.Equal(p.t, w[4] == "yes", p.d.TooOld(id, p.observation(w[2:4]), sent[len(sent)-1]), p.at)
 	case "denied": // a member says outside a whole answer that it is no primary
 		p.d.Denied(rules.MemberID(p.number(w[1])))
 	case "leaves":
