Trails say what their drivers' clocks show as they are told; what can't be ordered is unknown

Clocks are compared by the last entry of what is told, if that was made just then; with spans entered by the trail's clock there seldom was one. Mend: Mark, when a trail is told; and where clocks were never compared, nothing is late by them, and the audit says that it can't tell (Unordered). TestWhatIsToldSaysWhatItsClockShows. TestActsAfterAClosing says now that its clocks are compared, which it took for granted.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -249,7 +249,7 @@
 	r.Learns(6*second, book, 9, 2)
 	r.Ended(6*second, book, 1, "sure", NonIdempotent, Served, 6*second)
 	c := NewCollection(100)
-	c.Take(r.Since(0, 100))
+	c.Take(compared(r.Since(0, 100)))
 	late := c.Late(book, 2, 9, 4*second, 2*second)
 	require.Len(t, late, 1)
 	require.True(t, late[0].Sure)
@@ -275,7 +275,7 @@
 	r.Ended(9*second, book, 1, "before it learned", Tokened, Left, second)
 	r.Flush(10 * second)
 	c := NewCollection(100)
-	c.Take(r.Since(0, 100))
+	c.Take(compared(r.Since(0, 100)))
 	require.Empty(t, c.Late(book, 2, 9, 5*second, second))
 	require.EqualValues(t, 4, c.Acted(Asked{Version: 1})[0].Tally.Total())
 
@@ -288,6 +288,41 @@
 	require.Empty(t, late[0].RPC)
 }
 
+// compared is a part of a trail whose driver's clock is that of the voters.
+func compared(p Part) Part {
+	p.Placed = true
+	return p
+}
+
+// A driver whose clock was minutes ahead was said to be late 472 times in a night of 300 versions: its spans were entered by its own clock between two
+// tellings, so that none of what it told ended in one made just then, by which clocks are compared.
+func TestWhatIsToldSaysWhatItsClockShows(t *testing.T) {
+	const ahead = 100 * second
+	r := NewTrail(ahead, who, "token", 1000, 10*second)
+	r.Learns(ahead, book, 1, 1)
+	c := NewCollection(1000)
+	for now := int64(0); now < 5*second; now += second / 100 {
+		r.Began(ahead+now, book, 1)
+		r.Ended(ahead+now, book, 1, "w", NonIdempotent, Served, ahead+now)
+		if now%(second/3) < second/100 { // told three times a second
+			r.Mark(ahead + now)
+			c.Take(r.Since(c.Held(who), 64).Heard(now))
+		}
+	}
+	require.Empty(t, c.Late(book, 2, 9, 6*second, 0))
+	require.Empty(t, c.Unknown([]Start{{who, 0, 5 * second, true}}))
+	require.NotEmpty(t, c.Late(book, 2, 9, 2*second, 0))
+
+	strange := NewCollection(1000)
+	part := r.Since(0, 50)
+	strange.Take(part)
+	require.Empty(t, strange.Late(book, 2, 9, 2*second, 0), "nobody knows what its clock shows")
+	starts := []Start{{who, 0, 5 * second, true}}
+	require.Contains(t, fmt.Sprint(strange.Unordered(book, 2, starts)), "its clock was not compared")
+	require.Empty(t, strange.Unordered(book, 1, starts))
+	require.Empty(t, c.Unordered(book, 2, starts))
+}
+
 // Guards against clocks that are minutes off: times are placed by when they were heard.
 func TestClocksThatAreOff(t *testing.T) {
 	r := NewTrail(500*second, who, "token", 100, second)
--- a/internal/audit/collection.go
+++ b/internal/audit/collection.go
@@ -313,7 +313,8 @@
 // Late looks for what acted on versions of a thing below one that was closed at an epoch, at a time of the closer's clock.
 // What a driver did after it had learned of that epoch is late for sure. What it did before is put in order by clocks alone: it is late if it lies
 // beyond what they may differ by, and not told of otherwise. What counts is when an attempt was let begin, not when its RPC ended: a driver that
-// stood still ends, long after, what it did before. Of RPCs that are only counted those count that began within their span.
+// stood still ends, long after, what it did before. Of RPCs that are only counted those count that began within their span. Where a driver's clock was
+// never compared nothing is late by clocks.
 func (c *Collection) Late(thing versions.Thing, closed versions.Number, epoch versions.Epoch, at, clockError int64) (late []Late) {
 	for _, who := range c.starts() {
 		knew, singles := int64(0), map[versions.Number]uint64{} // since the last span of each version, which counts them too
@@ -347,7 +348,7 @@
 			switch {
 			case sure:
 				late = append(late, Late{who, e.Version, when, e.RPC, fmt.Sprintf("entry %d, after it had learned of epoch %d", e.Seq, epoch), true})
-			case c.trails[who].place(when) > at+clockError:
+			case c.trails[who].placed && c.trails[who].place(when) > at+clockError:
 				late = append(late, Late{who, e.Version, when, e.RPC, fmt.Sprintf("entry %d, beyond the clocks' error", e.Seq), false})
 			}
 		})
@@ -397,6 +398,26 @@
 	return all
 }
 
+// Unordered tells which of some starts acted on versions of a thing below one that was closed, and at what time is not known, since their clocks were
+// never compared with those of the voters.
+func (c *Collection) Unordered(thing versions.Thing, closed versions.Number, starts []Start) (all []Unknown) {
+	for _, s := range starts {
+		t, acted := c.trails[s.Who], false
+		if t == nil || t.placed {
+			continue
+		}
+		t.each(func(e *Entry) {
+			older := e.Thing == thing && e.Version != 0 && e.Version < closed
+			acted = acted || older && (e.Kind == Single || e.Kind == Spans && e.Tally.Total() > 0)
+		})
+		if acted {
+			why := fmt.Sprintf("its clock was not compared: when it acted on versions of %s below %d is not known", thing, closed)
+			all = append(all, Unknown{s.Who, s.From, s.Until, why})
+		}
+	}
+	return all
+}
+
 // dropped are the times of a start in which its trail had no room for single entries.
 func (c *Collection) dropped(who versions.Sign) (all []Unknown) {
 	t := c.trails[who]
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -28,6 +28,7 @@
 	acts    map[versions.Thing]versions.Number
 	turned  map[versions.Thing]int64 // when the version acted on changed last
 	flushed int64                    // when spans were entered last
+	marked  int64                    // and when for somebody who was about to tell the trail
 	held    uint64                   // entry up to which the voters hold the trail, as they said last
 	singles int                      // single entries after that one
 	dropped map[spanKey]*drops       // what there was no room for, and is not entered yet
@@ -166,8 +167,9 @@
 
 // flushDue flushes if it is time and there is room.
 func (t *Trail) flushDue(now int64) {
-	if waiting := float64(t.seq - t.held); waiting < float64(t.most)*spansShare {
-		t.FlushDue(now)
+	waiting := float64(t.seq - t.held)
+	if now-t.flushed >= FlushEvery && waiting < float64(t.most)*spansShare {
+		t.Flush(now)
 	}
 }
 
@@ -192,9 +194,11 @@
 	}
 }
 
-// FlushDue flushes if it is time, for somebody who is about to tell the trail.
-func (t *Trail) FlushDue(now int64) {
-	if now-t.flushed >= FlushEvery {
+// Mark flushes for somebody who is about to tell the trail, but not more often than spans are entered: the last entry of what is told then says what
+// this driver's clock showed at that time, whatever was flushed in between.
+func (t *Trail) Mark(now int64) {
+	if now-t.marked >= FlushEvery {
+		t.marked = now
 		t.Flush(now)
 	}
 }
--- a/internal/membership/registration_test.go
+++ b/internal/membership/registration_test.go
@@ -103,6 +103,7 @@
 	if s.trail == nil {
 		return audit.Part{}
 	}
+	s.trail.Mark(s.now())
 	return s.trail.Since(seq, most)
 }
 
--- a/internal/membership/trails.go
+++ b/internal/membership/trails.go
@@ -154,12 +154,14 @@
 		f.Entries += len(p.Entries)
 	}
 	f.Acted = all.Acted(audit.Asked{Thing: q.Thing, Version: q.Version, Driver: q.Driver, From: q.From, To: q.To})
+	starts := fleet.starts(q.Driver)
+	f.Unknown = append(all.Unknown(starts), fleet.forgotten(q.Driver, all)...)
 	for _, v := range fleet.Versions[q.Thing] {
 		if v.Stage == versions.Closed {
 			f.Late = append(f.Late, all.Late(q.Thing, v.Number, v.Epoch, v.Closes, q.Clocks)...)
+			f.Unknown = append(f.Unknown, all.Unordered(q.Thing, v.Number, starts)...)
 		}
 	}
-	f.Unknown = append(all.Unknown(fleet.starts(q.Driver)), fleet.forgotten(q.Driver, all)...)
 	return f, nil
 }
 
--- a/internal/routing/versioned.go
+++ b/internal/routing/versioned.go
@@ -49,7 +49,7 @@
 	if r.trail == nil {
 		return audit.Part{}
 	}
-	r.trail.FlushDue(r.now())
+	r.trail.Mark(r.now())
 	return r.trail.Since(seq, most)
 }
 
