--- a/rules/cold_fleet_test.go
+++ b/rules/cold_fleet_test.go
@@ -265,6 +265,19 @@
 	return worst, line
 }
 
+// restartNow restarts the members that are to be cold, of which drivers hear one after another, and judges what these get until they are warm.
+func (f *fleet) restartNow(t *testing.T, rate float64) {
+	f.restart = f.now
+	for _, h := range f.drivers {
+		f.after(f.rng.Int63n(int64(3*time.Second)), func() { h.list(false) })
+	}
+	f.run(f.now + int64(warm))
+	require.NotEmpty(t, f.got, "it gets something")
+	worst, line := f.worst()
+	t.Logf("%.0f a second: worst %.2f of the bound: %s", rate, worst, line)
+	require.LessOrEqual(t, worst, 1.0, line)
+}
+
 // Guards against a cold member that falls under the sum of what all drivers send it, though each sends little: with few of them
 // and with many, who hear of the start at different moments, with news lost, with further attempts after errors, with most
 // members of the group cold at once, its primary among them, with drivers that have just started themselves, and under a burst.
@@ -292,15 +305,7 @@
 				for seed, rate := range []float64{40, 150} {
 					f := newFleet(drivers, rate, int64(seed+1))
 					trouble(f)
-					f.restart = f.now
-					for _, h := range f.drivers {
-						f.after(f.rng.Int63n(int64(3*time.Second)), func() { h.list(false) })
-					}
-					f.run(f.now + int64(warm))
-					require.NotEmpty(t, f.got, "it gets something")
-					worst, line := f.worst()
-					t.Logf("%.0f a second: worst %.2f of the bound: %s", rate, worst, line)
-					require.LessOrEqual(t, worst, 1.0, line)
+					f.restartNow(t, rate)
 				}
 			})
 		}
@@ -339,14 +344,7 @@
 		f := newFleetOf(drivers, rate, int64(seed+1), sizes)
 		f.rate, f.limited = f.rate*excess, true
 		f.run(f.now + int64(20*time.Second))
-		f.cold, f.restart = []rules.MemberID{3}, f.now
-		for _, h := range f.drivers {
-			f.after(f.rng.Int63n(int64(3*time.Second)), func() { h.list(false) })
-		}
-		f.run(f.now + int64(warm))
-		require.NotEmpty(t, f.got, "it gets something")
-		worst, line := f.worst()
-		t.Logf("%.0f a second: worst %.2f of the bound: %s", rate, worst, line)
-		require.LessOrEqual(t, worst, 1.0, line)
+		f.cold = []rules.MemberID{3}
+		f.restartNow(t, rate)
 	}
 }
