--- a/rules/slow_start.go
+++ b/rules/slow_start.go
@@ -9,25 +9,25 @@
 
 // warmLoad is the rate at which warm members serve this driver, which is what a cold member's budget is a share of: members serve no more than
 // they can do, whatever they are sent. Attempts don't tell that: under overload most of them are turned away, and made again. Answers of cold
-// members and time in which no member was warm don't count, so that a budget does not shrink by itself.
+// members and time in which no member was warm don't count, so that a budget does not shrink by itself. Rates are those of a member of size 1.
 type warmLoad struct {
 	answers float64 // that warm members gave, smoothed
-	time    float64 // in which they gave them, in nanoseconds of one member
+	time    float64 // in which they gave them, in nanoseconds of one member, each times its size
 	at      int64   // up to when that is counted
 }
 
-// served notes an answer of a warm member, of so many that are warm.
-func (l *warmLoad) served(now int64, warm int) {
+// served notes an answer of a warm member; all that are warm have a size of so much.
+func (l *warmLoad) served(now int64, warm float64) {
 	l.answers += 1 - latestAnswer*l.answers
-	l.time += float64(now-l.at)*float64(warm) - latestAnswer*l.time
+	l.time += float64(now-l.at)*warm - latestAnswer*l.time
 	l.at = now
 }
 
-// rate is the number of answers that one warm member gives in a nanosecond, if so many are warm now. What is expected weighs the less the more
-// answers were seen.
-func (l *warmLoad) rate(now int64, warm int, expected float64) float64 {
+// rate is the number of answers that a warm member gives in a nanosecond, if those that are warm now have a size of so much. What is expected weighs
+// the less the more answers were seen.
+func (l *warmLoad) rate(now int64, warm, expected float64) float64 {
 	prior := expectedAnswers * (1 - latestAnswer*l.answers)
-	return (l.answers + prior) / (l.time + float64(now-l.at)*float64(warm) + prior/expected)
+	return (l.answers + prior) / (l.time + float64(now-l.at)*warm + prior/expected)
 }
 
 // groupLoad is what a group's warm members serve, in the mean, and what its primary does while it is warm, which may be more: each member can do
@@ -46,31 +46,34 @@
 		return
 	}
 	now, g := d.host.Now(), d.of[m]
-	g.load.mean.served(now, d.warmMembers(g))
+	g.load.mean.served(now, d.warmSize(g))
 	if g.primary == m {
-		g.load.primary.served(now, 1)
+		g.load.primary.served(now, d.size[m])
 	}
 }
 
-// loadPerMember is how many answers a nanosecond a warm member of a group is known to be able to give this driver. Before answers tell, as much is
-// expected as requests come.
-func (d *Driver) loadPerMember(g *group) float64 {
-	now, warmPrimaries := d.host.Now(), 0
+// loadPerSize is how many answers a nanosecond a warm member of size 1 is known to be able to give this driver. Before answers tell, as much is expected
+// as requests come.
+func (d *Driver) loadPerSize(g *group) float64 {
+	now, warmPrimary, all := d.host.Now(), 0.0, 0.0
 	if g.primary != nobody && d.warm(g.primary) {
-		warmPrimaries = 1
+		warmPrimary = d.size[g.primary]
 	}
-	mean := g.load.mean.rate(now, d.warmMembers(g), 1/(g.gap*float64(len(g.members))))
-	return max(mean, g.load.primary.rate(now, warmPrimaries, mean))
+	for _, m := range g.members {
+		all += d.size[m]
+	}
+	mean := g.load.mean.rate(now, d.warmSize(g), 1/(g.gap*all))
+	return max(mean, g.load.primary.rate(now, warmPrimary, mean))
 }
 
-// warmMembers counts the members of a group that answer and are warm.
-func (d *Driver) warmMembers(g *group) (count int) {
+// warmSize is the size of all members of a group that answer and are warm.
+func (d *Driver) warmSize(g *group) (size float64) {
 	for _, m := range g.members {
 		if d.state[m] == Healthy && !d.silent[m] && d.warm(m) {
-			count++
+			size += d.size[m]
 		}
 	}
-	return count
+	return size
 }
 
 // warm tells whether a member has not started lately.
@@ -91,7 +94,7 @@
 	span := min(savedUp*g.gap, float64(now-max(d.fed[m], started))) // since the last lot
 	d.fed[m] = now
 	bore := float64(d.borne[m]) / float64(max(10*sec, now-d.begun)) // itself, in the mean
-	rate := max(bore, d.loadPerMember(g))
+	rate := max(bore, d.loadPerSize(g)*d.size[m])
 	return d.rng.Float64() < span*rate*min(2, able*d.Multiple*min(0.8, 0.7*d.first))
 }
 
