--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+CASE=$(cd "$(dirname "$0")" && pwd)
+. "$CASE/../run-case.sh"
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -107,8 +107,13 @@
 	primary bool
 	sent    map[string][]time.Time // when the statements with an id arrived
 	done    map[string]int         // how often each was run
+	spoil   func(c net.Conn, id string) bool
 }
 
+// SetSpoil sets what may answer in the member's place, after the work: it reports whether it did. The
+// member then waits for the connection's end.
+func (m *Member) SetSpoil(spoil func(c net.Conn, id string) bool) { m.spoil = spoil }
+
 // NewMember starts a member. Replicas follow the primary at once.
 func NewMember(record *Record, name string, primary bool, work time.Duration) (*Member, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -188,6 +193,10 @@
 		m.done[id]++
 		m.mu.Unlock()
 		m.record.Printf("member %s ran id=%s", m.Name, id)
+		if m.spoil != nil && m.spoil(c, id) {
+			io.Copy(io.Discard, r)
+			return
+		}
 		io.WriteString(c, row("value of "+id, tag)+m.status()+ready)
 	}
 }
