--- a/review/2/main.go
+++ b/review/2/main.go
@@ -15,7 +15,7 @@
 
 const (
 	clients  = 4
-	window   = 4 // commands out at once on each connection
+	window   = 2 // commands out at once on each connection
 	work     = 60 * time.Millisecond
 	deadline = 2000 // of each command, in milliseconds; the longest of the settings
 	warmUp   = 2 * time.Second
