--- a/review/1/main.go
+++ b/review/1/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,17 +53,22 @@
 	refused  int
 }
 
-// play sends all commands, window of them at once, and reads the answers.
-func (s *session) play(record *rig.Record, address, name string, window int) error {
+// open connects a client and makes a first, small request on its connection.
+func open(address, name string) (*rig.Client, error) {
 	client, err := rig.Connect(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer client.Close()
 	client.SetReadDeadline(time.Now().Add(deadline*time.Millisecond + slack))
-	if a, err := client.Ask(rig.Write(name+"-first", "write", deadline, 16)); err != nil || a.Code != "" && a.Code != "53300" {
-		return fmt.Errorf("the first, small write got %v, %v", a, err)
+	if a, err := client.Ask(rig.Read(name+"-first", "read", 1500)); err != nil || a.Code != "" && a.Code != "53300" {
+		return nil, fmt.Errorf("the first, small read got %v, %v", a, err)
 	}
+	return client, nil
+}
+
+// play sends all commands, window of them at once, and reads the answers.
+func (s *session) play(record *rig.Record, client *rig.Client, name string, window int) {
+	defer client.Close()
 	turns, stop, writerDone := make(chan struct{}, depth), make(chan struct{}), make(chan struct{})
 	for range window {
 		turns <- struct{}{}
@@ -106,7 +110,6 @@
 	close(stop)
 	client.Close()
 	<-writerDone
-	return nil
 }
 
 func run(record *rig.Record) (int, error) {
@@ -136,21 +139,23 @@
 		window = depth
 	}
 	sessions := make([]session, clients)
+	var connections []*rig.Client
+	for i := range sessions {
+		client, err := open(driver.Address, fmt.Sprintf("c%02d", i))
+		if err != nil {
+			return 0, err
+		}
+		connections = append(connections, client)
+	}
 	var wait sync.WaitGroup
-	var failure atomic.Pointer[error]
 	for i := range sessions {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			if err := sessions[i].play(record, driver.Address, fmt.Sprintf("c%02d", i), window); err != nil {
-				failure.Store(&err)
-			}
+			sessions[i].play(record, connections[i], fmt.Sprintf("c%02d", i), window)
 		}()
 	}
 	wait.Wait()
-	if err := failure.Load(); err != nil {
-		return 0, *err
-	}
 	time.Sleep(deadline*time.Millisecond + slack) // members end what they hold
 	answered, refused, lost, ran := 0, 0, 0, 0
 	for _, s := range sessions {
