--- a/review/1/main.go
+++ b/review/1/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"sedgespread/review/rig"
@@ -130,7 +129,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer driver.Signal(syscall.SIGKILL)
+	defer driver.End()
 	if err := driver.AwaitReady(10 * time.Second); err != nil {
 		return 0, err
 	}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer driver.Signal(syscall.SIGKILL)
+	defer driver.End()
 	if err := driver.AwaitReady(10 * time.Second); err != nil {
 		return 0, err
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -357,6 +357,7 @@
 	Address string
 	cmd     *exec.Cmd
 	Exited  chan error
+	ended   chan struct{} // closed once the process is gone
 	log     *os.File
 	record  *Record
 }
@@ -414,12 +415,13 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	d := &Driver{Address: address, cmd: cmd, Exited: make(chan error, 1), log: log, record: record}
+	d := &Driver{Address: address, cmd: cmd, Exited: make(chan error, 1), ended: make(chan struct{}), log: log, record: record}
 	record.Printf("driver %s started", name)
 	go func() {
 		err := cmd.Wait()
 		record.Printf("driver %s ended: %v", name, err)
 		d.Exited <- err
+		close(d.ended)
 	}()
 	return d, nil
 }
@@ -433,6 +435,13 @@
 	d.cmd.Process.Signal(s)
 }
 
+// End kills the driver, if it still runs, and waits until it is gone.
+func (d *Driver) End() {
+	d.cmd.Process.Kill()
+	<-d.ended
+	d.log.Close()
+}
+
 // AwaitReady waits until the driver answers an empty query.
 func (d *Driver) AwaitReady(within time.Duration) error {
 	var err error
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,5 @@
-# Runs the case in the folder CASE, which its run.sh sets: one process that starts the driver by the
-# deploy file and plays everybody else on loopback. It ends the driver whatever happens.
+# Runs the case in the folder CASE with the TROUBLE that its run.sh sets: one process that starts the
+# driver by the deploy file and plays everybody else on loopback. The driver ends with that process.
 set -u
 ROOT=$(cd "$CASE/../.." && pwd)
 RUN=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$ROOT/deploy/balancer.toml")
@@ -10,10 +10,12 @@
 	exit 2
 fi
 WORK=$(mktemp -d) || exit 2
-trap 'rm -rf "$WORK"' EXIT
 export ROOT RUN RECORD WORK
-export TROUBLE="${TROUBLE:-1}"
-timeout -k 2 115 "$CASE/case"
+timeout -k 2 115 "$CASE/case" &
+player=$!
+trap 'rm -rf "$WORK"' EXIT
+trap 'kill "$player" 2>/dev/null; wait "$player" 2>/dev/null; exit 2' HUP INT TERM
+wait "$player"
 rc=$?
 for log in "$WORK"/*.log; do
 	[ -f "$log" ] && { echo "--- log of ${log##*/}"; head -c 200000 "$log"; } >>"$RECORD"
