--- a/internal/emulator/sockets/members.go
+++ b/internal/emulator/sockets/members.go
@@ -30,6 +30,7 @@
 	listeners []*transport.Listener
 	addresses []string
 	tasks     errgroup.Group
+	inputs    *protocol.Inputs // of the members' clients, the drivers
 	discovery *httptest.Server
 	fillHook  *httptest.Server
 
@@ -41,13 +42,16 @@
 	fillEpochs map[string]uint64 // newest epoch of a fill request by tenant
 }
 
-const maxConns = 1 << 14
+const (
+	maxConns      = 1 << 14
+	maxInputBytes = 256 << 20 // of all members
+)
 
 // Start starts a fleet on loopback.
 func Start(config emulator.Config) (*Fleet, error) {
 	checker := emulator.NewChecker()
 	f := &Fleet{Checker: checker, startedAt: time.Now(), model: emulator.NewFleet(config, checker), fillEpochs: map[string]uint64{},
-		version: 1, changed: make(chan struct{}), conns: map[emulator.MemberID]map[*transport.Conn]bool{}}
+		inputs: protocol.NewInputs(maxInputBytes), version: 1, changed: make(chan struct{}), conns: map[emulator.MemberID]map[*transport.Conn]bool{}}
 	f.ctx, f.cancel = context.WithCancelCause(context.Background())
 	descriptors := transport.NewDescriptors(maxConns)
 	for i := range f.model.MemberCount() {
@@ -95,7 +99,7 @@
 		if err != nil {
 			return
 		}
-		f.tasks.Go(func() error { f.serve(protocol.Client{Conn: c}, id); return nil })
+		f.tasks.Go(func() error { f.serve(protocol.NewClient(c, f.inputs), id); return nil })
 	}
 }
 
--- a/internal/program/idle_clients.go
+++ b/internal/program/idle_clients.go
@@ -121,7 +121,7 @@
 	i.mu.Lock()
 	draining := i.draining
 	i.mu.Unlock()
-	return draining && client.ForceStopIfIdle(transport.ShutDown) && client.Await(1) == transport.ShutDown
+	return draining && client.ForceStopIfIdle(transport.ShutDown) && client.AwaitQuery() == transport.ShutDown
 }
 
 // sweep closes the clients of a list that have been idle for maxIdle, or at once while draining. A
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -28,7 +28,7 @@
 	prober           *prober
 	idleClients      *idleClients
 	cancels          *cancelRegistry
-	overflow         *transport.OverflowBudget // for input that clients pipeline behind a running query
+	inputs           *protocol.Inputs // of the clients
 	peers            *peers
 	discovery        *discoverySource
 	readiness        *readiness
@@ -48,7 +48,7 @@
 	descriptors := transport.NewDescriptors(int(config.Sockets))
 	p := &Program{config: config, log: log, lifetime: lifetime,
 		idleClients: &idleClients{descriptors: descriptors}, cancels: newCancelRegistry(), descriptors: descriptors,
-		overflow:  transport.NewOverflowBudget(int(config.MemoryMB<<20)/pipelinedMemoryDivisor, maxPipelinedBytes),
+		inputs:    protocol.NewInputs(int(config.MemoryMB<<20) / inputMemoryDivisor),
 		discovery: &discoverySource{address: config.Discovery, rng: rand.New(rand.NewSource(config.Seed))}}
 	var err error
 	if p.router, err = routing.New(config.Settings, config.Seed, config.KnownTargets, log); err != nil {
@@ -107,7 +107,7 @@
 		if err != nil {
 			return nil
 		}
-		sessions.Go(func() error { p.serveClient(protocol.Client{Conn: c}); return nil })
+		sessions.Go(func() error { p.serveClient(protocol.NewClient(c, p.inputs)); return nil })
 	}
 }
 
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -67,8 +67,7 @@
 	maxLingerBytes     = 1 << 20                // input discarded while lingering
 	clientWriteTimeout = 2 * time.Second        // for a client to accept an answer
 
-	maxPipelinedBytes      = 1 << 20 // of one client, while its query runs
-	pipelinedMemoryDivisor = 16      // all clients together may buffer 1/16 of the memory limit
+	inputMemoryDivisor = 4 // what clients have sent may take 1/4 of the memory limit
 )
 
 // serveQuery serves a query whose last byte arrived at receivedAt. It returns the RPC, or nil
@@ -141,7 +140,6 @@
 	rpc *routing.ActiveRPC) routing.Step {
 	defer context.AfterFunc(client.Context(), rpc.ClientLeft)()
 	defer p.cancels.setCancel(entry, rpc.ClientLeft)()
-	defer client.WatchForClose(p.overflow)()
 	for {
 		step := rpc.NextStep()
 		if step.Action != routing.ActionAttempt {
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -22,7 +22,21 @@
 const cancelKeyBytes = 8 // process and secret
 
 // Client is the server side of a client's connection.
-type Client struct{ *transport.Conn }
+type Client struct {
+	*transport.Conn
+	input *clientInput // takes the input once the handshake is done
+}
+
+// NewClient returns a Client whose input shares inputs with others.
+func NewClient(conn *transport.Conn, inputs *Inputs) Client {
+	return Client{Conn: conn, input: &clientInput{shared: inputs}}
+}
+
+// Close closes the connection and releases what its input holds.
+func (c Client) Close(reason transport.CloseReason) {
+	c.Conn.Close(reason)
+	c.input.release()
+}
 
 // Identity is the user and database named in a client's startup message.
 type Identity struct{ User, Database string }
@@ -118,63 +132,78 @@
 }
 
 // ReadQuery waits for the next simple query. receivedAt is when its last byte arrived, which may be long
-// before the call if it was pipelined. Extended queries are answered with an error.
+// before the call if it was pipelined. Extended queries are answered with an error, and queries that could not
+// be held with a refusal.
 func (c Client) ReadQuery() (text string, receivedAt time.Time, reason transport.CloseReason) {
 	for {
-		msg, reason := readMessage(c.Conn, maxStatementBytes)
+		entry, reason := c.nextEntry()
 		switch {
 		case reason == transport.TooLong || reason == transport.Malformed || reason == transport.Stalled:
 			return "", receivedAt, c.sendFatal(StateProtocolViolation, "the message can't be followed", reason)
 		case reason != transport.Open:
 			return "", receivedAt, reason
-		case msg.kind == kindQuery:
-			if terminator := strings.IndexByte(msg.body, 0); terminator < 0 || terminator != len(msg.body)-1 {
+		case entry.refused > 0:
+			reason = c.sendRefusals(entry.refused)
+		case entry.kind == kindQuery:
+			if terminator := strings.IndexByte(entry.body, 0); terminator < 0 || terminator != len(entry.body)-1 {
 				return "", receivedAt, c.sendFatal(StateProtocolViolation, "the query is not one string", transport.Malformed)
 			}
-			return msg.body[:len(msg.body)-1], msg.receivedAt, transport.Open
-		case msg.kind == kindTerminate:
-			return "", receivedAt, transport.ClosedByPeer
-		case msg.kind == kindSync || strings.IndexByte(extendedKinds, msg.kind) < 0:
+			return entry.body[:len(entry.body)-1], entry.receivedAt, transport.Open
+		case entry.kind == kindSync || strings.IndexByte(extendedKinds, entry.kind) < 0:
 			return "", receivedAt, c.sendFatal(StateProtocolViolation, "a message of this kind can't be followed here", transport.Malformed)
+		default:
+			reason = c.rejectExtended(entry.kind)
 		}
-		if reason := c.rejectExtended(msg.kind); reason != transport.Open {
+		if reason != transport.Open {
 			return "", receivedAt, reason
 		}
 	}
 }
 
-// WatchForClose closes the connection as soon as the client closes it or sends Terminate while its query
-// is processed, also behind pipelined queries. Stop ends the watch.
-func (c Client) WatchForClose(budget *transport.OverflowBudget) (stop func()) {
-	return c.Conn.WatchForClose(budget, inspectPipelined)
-}
-
-// inspectPipelined looks for a Terminate in the messages sent behind a query. At a malformed message it
-// keeps the input up to and including that header, so that ReadQuery reports the error in its turn.
-func inspectPipelined(peekAt transport.PeekFunc) (peerGone bool, keepBytes int) {
-	var header [headerBytes]byte
-	for offset := 0; peekAt(offset, header[:]); {
-		length := int64(binary.BigEndian.Uint32(header[1:]))
-		if length < lengthBytes || length+1 > maxStatementBytes {
-			return false, offset + headerBytes
+// nextEntry waits for the next entry of the input.
+func (c Client) nextEntry() (inputEntry, transport.CloseReason) {
+	if !c.input.isInstalled {
+		c.input.isInstalled = true
+		c.SetInputHandler(c.input)
+	}
+	for {
+		if entry, ok := c.input.take(); ok {
+			return entry, entry.end
 		}
-		if header[0] == kindTerminate {
-			return true, -1
+		reason := c.AwaitInput(c.input.hasEntry)
+		switch {
+		case reason == transport.ClosedByPeer && c.input.hasPart():
+			return inputEntry{}, transport.Truncated
+		case reason != transport.Open:
+			return inputEntry{}, reason
 		}
-		offset += int(length) + 1
 	}
-	return false, -1
 }
 
+// sendRefusals answers queries, one after another, with an error that says that trying again is harmless.
+func (c Client) sendRefusals(queries int) transport.CloseReason {
+	for range queries {
+		writeFailure(c.Conn, Pushback(0))
+		writeMessage(c.Conn, kindReady, "I")
+	}
+	return c.Flush()
+}
+
+// AwaitQuery waits until the client has sent a query, or until no more is read.
+func (c Client) AwaitQuery() transport.CloseReason { return c.AwaitInput(c.input.hasEntry) }
+
 // rejectExtended answers an extended query with an error and skips the rest of its messages.
 func (c Client) rejectExtended(kind byte) transport.CloseReason {
 	writeFailure(c.Conn, Failure{SQLState: StateNotSupported, Message: "only simple queries are taken"})
 	for kind != kindSync && kind != kindFunctionCall {
-		msg, reason := readMessage(c.Conn, maxStatementBytes)
-		if reason != transport.Open {
+		entry, reason := c.nextEntry()
+		switch {
+		case reason != transport.Open:
 			return reason
+		case entry.refused > 0: // a query among them is skipped, refused or not
+			continue
 		}
-		kind = msg.kind
+		kind = entry.kind
 	}
 	return c.sendReady()
 }
--- /dev/null
+++ b/internal/protocol/client_input_test.go
@@ -0,0 +1,126 @@
+package protocol
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sedgespread/internal/transport"
+)
+
+// newInput returns an input that shares a budget, and a function that feeds it.
+func newInput(shared *Inputs) (*clientInput, func(text string, at time.Time)) {
+	in := &clientInput{shared: shared}
+	return in, func(text string, at time.Time) { in.HandleInput([]byte(text), at) }
+}
+
+// takeAll returns what a session takes: bodies of messages, "refused" for each refusal, and the end.
+func takeAll(in *clientInput) (taken []string) {
+	for entry, ok := in.take(); ok; entry, ok = in.take() {
+		switch {
+		case entry.end != transport.Open:
+			taken = append(taken, entry.end.String())
+		case entry.refused > 0:
+			for range entry.refused {
+				taken = append(taken, "refused")
+			}
+		default:
+			taken = append(taken, entry.body)
+		}
+	}
+	return taken
+}
+
+// largeQuery returns a query of more than the bytes that each connection may hold in any case.
+func largeQuery(mark string) string {
+	return encodeMessage(kindQuery, mark+strings.Repeat("x", 100<<10)+"\x00")
+}
+
+// Guards against messages that are cut or joined where input arrives in pieces.
+func TestClientInputInPieces(t *testing.T) {
+	stream := encodeMessage(kindQuery, "one\x00") + encodeMessage(kindSync, "") + encodeMessage(kindQuery, strings.Repeat("two", 3000)+"\x00") +
+		encodeMessage(kindQuery, "\x00") + "Q\x00\x00\x00\x03rest"
+	want := []string{"one\x00", "", strings.Repeat("two", 3000) + "\x00", "\x00", transport.Malformed.String()}
+	for _, size := range []int{1, 2, 3, 4, 5, 7, 64, 4096, len(stream)} {
+		shared := NewInputs(1 << 20)
+		in, feed := newInput(shared)
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			feed(rest[:n], time.Now())
+			rest = rest[n:]
+		}
+		require.Equal(t, want, takeAll(in), size)
+		require.Zero(t, in.held, "everything was taken")
+		require.Equal(t, 1<<20, shared.Available())
+	}
+}
+
+// Guards against queries that are dropped without an answer, or answered out of their order, where a client
+// sends more than can be held, and against one client that takes the memory from all.
+func TestQueriesBeyondTheMemoryAreRefused(t *testing.T) {
+	shared := NewInputs(1 << 20)
+	greedy, feedGreedy := newInput(shared)
+	var want []string
+	for range 30 {
+		feedGreedy(largeQuery("greedy"), time.Now())
+	}
+	held := len(greedy.queue) - 1 // the last entry is the refusal of the others
+	require.Greater(t, held, 1)
+	require.Less(t, held, 6)
+	modest, feedModest := newInput(shared)
+	feedModest(largeQuery("modest"), time.Now())
+	require.Len(t, takeAll(modest), 1)
+	require.NotContains(t, takeAll(modest), "refused", "another client still gets memory")
+	for range held {
+		entry, ok := greedy.take()
+		require.True(t, ok)
+		require.Contains(t, entry.body, "greedy")
+	}
+	feedGreedy(largeQuery("later")+encodeMessage(kindQuery, "small\x00"), time.Now())
+	for range 30 - held {
+		want = append(want, "refused")
+	}
+	got := takeAll(greedy)
+	require.Equal(t, want, got[:len(want)], "in their order")
+	require.Contains(t, got[len(want)], "later", "held again once there is memory")
+	require.Equal(t, "small\x00", got[len(want)+1])
+	require.Equal(t, 1<<20, shared.Available())
+
+	hoarder, feedHoarder := newInput(NewInputs(100 << 20))
+	for range 30 {
+		feedHoarder(largeQuery(""), time.Now())
+	}
+	require.LessOrEqual(t, hoarder.held, maxInputBytes, "of one client, whatever is available")
+	hoarder.release()
+	require.Equal(t, 100<<20, hoarder.shared.Available(), "a connection that ends returns what it held")
+}
+
+// Guards against small queries that are refused because others hold all memory.
+func TestSmallQueriesNeedNoReservation(t *testing.T) {
+	in, feed := newInput(NewInputs(0))
+	for range 10 {
+		feed(encodeMessage(kindQuery, "small\x00"), time.Now())
+	}
+	require.NotContains(t, takeAll(in), "refused")
+	feed(largeQuery(""), time.Now())
+	require.Equal(t, []string{"refused"}, takeAll(in))
+	feed(encodeMessage('P', strings.Repeat("x", 100<<10)), time.Now())
+	require.Equal(t, []string{transport.TooLong.String()}, takeAll(in), "what has no answer of its own can't be refused")
+}
+
+// Guards against a client that sends without end behind a running query and takes the processor from others.
+func TestFloodIsReadSlowly(t *testing.T) {
+	in, _ := newInput(NewInputs(0))
+	pauses, sent := time.Duration(0), 0
+	for part := []byte(largeQuery("")); sent < 64<<20; sent += len(part) {
+		_, pause := in.HandleInput(part, time.Now())
+		pauses += pause
+		require.True(t, pause == 0 || sent > unpacedDropBytes)
+	}
+	require.Greater(t, pauses, time.Second)
+	takeAll(in)
+	_, pause := in.HandleInput([]byte(largeQuery("")), time.Now())
+	require.Zero(t, pause, "the session waits for input")
+}
--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -44,13 +44,3 @@
 		*a = nil
 	}
 }
-
-// truncate removes the bytes from endOffset on. endOffset must lie within the buffered data.
-func (a *arrivals) truncate(endOffset int64) {
-	for len(*a) > 1 && (*a)[len(*a)-2].endOffset >= endOffset {
-		*a = (*a)[:len(*a)-1]
-	}
-	if last := len(*a) - 1; last >= 0 {
-		(*a)[last].endOffset = min((*a)[last].endOffset, endOffset)
-	}
-}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -1,5 +1,6 @@
 // Package transport implements buffered connections. Each has a ring buffer per direction, a goroutine
-// that reads continuously and so notices at once when the peer closes, and a CloseReason.
+// that reads continuously and so notices at once when the peer closes, and a CloseReason. Input is either
+// read from the ring buffer or handed to an InputHandler as it arrives.
 package transport
 
 import (
@@ -19,32 +20,44 @@
 	cancel  context.CancelCauseFunc
 	release func()
 
-	mu                sync.Mutex
-	changed           *sync.Cond // signals changes of the fields below
-	readBuffer        RingBuffer
-	consumedBytes     int64       // bytes consumed or discarded so far
-	arrivals          arrivals    // of the bytes in readBuffer
-	wantedBytes       int         // bytes that Await is waiting for
-	stopReason        CloseReason // what Await returns once reading has stopped
-	ignoreSocketInput bool        // stop even if the socket holds unread data
-	readStopped       bool        // readLoop is paused by StopIfIdle or Interrupt
-	discardLimit      int         // bytes of input that Linger still discards
-	// inspect is the function passed to WatchForClose, nil while not watching.
-	inspect        func(peekAt PeekFunc) (peerGone bool, keepBytes int)
-	overflowBudget *OverflowBudget // memory beyond the normal limit of readBuffer
-	overflowBytes  int             // reserved from overflowBudget
-	readTimeout    time.Duration
-	readTimer      *time.Timer // closes the connection after readTimeout without input
-	closeReason    CloseReason
-	closed         chan struct{} // closed after the socket has been closed
+	mu            sync.Mutex
+	changed       *sync.Cond // signals changes of the fields below
+	readBuffer    RingBuffer
+	consumedBytes int64        // bytes consumed or discarded so far
+	arrivals      arrivals     // of the bytes in readBuffer
+	wantedBytes   int          // bytes that Await is waiting for
+	nextReadBytes int          // size of the next read for inputHandler
+	inputHandler  InputHandler // takes the contents of readBuffer after each read; nil for none
+	stopReason    CloseReason  // what Await returns once reading has stopped
+	stopMode      stopMode     // what a requested stop does about input
+	readStopped   bool         // readLoop is paused by a stop or by Interrupt
+	discardLimit  int          // bytes of input that Linger still discards
+	readTimeout   time.Duration
+	readTimer     *time.Timer // closes the connection after readTimeout without input
+	closeReason   CloseReason
+	closed        chan struct{} // closed after the socket has been closed
 
 	writeBuffer  RingBuffer
 	writeTimeout time.Duration
 }
 
-// PeekFunc copies buffered bytes, starting at an offset, without consuming them. It returns false and
-// copies nothing if too few are buffered to fill dst.
-type PeekFunc func(offset int, dst []byte) bool
+// InputHandler takes a connection's input as it arrives, so that the connection reads at all times and
+// notices at once when its peer closes. It is called with the connection locked and must not call it.
+type InputHandler interface {
+	// HandleInput takes all of input, which was received at receivedAt. peerGone reports that the peer
+	// announced its end, pause how long to wait before more is read.
+	HandleInput(input []byte, receivedAt time.Time) (peerGone bool, pause time.Duration)
+	// HasInput reports whether input is held that was not taken out yet, also part of a message.
+	HasInput() bool
+}
+
+// stopMode says which input cancels a requested stop of reading.
+type stopMode int
+
+const (
+	stopUnlessInput    stopMode = iota // input that is held or still in the socket
+	stopUnlessBuffered                 // input that is held
+)
 
 // NewConn wraps netConn with buffers of up to bufferLimit bytes per direction and starts reading. The
 // connection closes when ctx ends; release is called once after it has closed.
@@ -85,7 +98,6 @@
 	first := c.closeReason == Open
 	if first {
 		c.closeReason = reason
-		c.releaseOverflow()
 		c.changed.Broadcast()
 	}
 	c.mu.Unlock()
@@ -103,11 +115,12 @@
 		n, err := c.netConn.Read(space)
 		receivedAt := time.Now()
 		c.mu.Lock()
+		peerGone, pause := false, time.Duration(0)
 		if n > 0 {
 			c.recordRead(n, receivedAt)
+			peerGone, pause = c.handleInput(receivedAt)
 		}
 		stopped := c.confirmStop(err)
-		peerGone := n > 0 && c.inspectBuffered()
 		c.changed.Broadcast()
 		c.mu.Unlock()
 		switch {
@@ -121,12 +134,31 @@
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			c.Close(readFailureReason(err))
 			return
+		case pause > 0:
+			time.Sleep(pause)
 		}
 	}
 }
 
+// handleInput hands the contents of readBuffer to inputHandler, if there is one. The caller holds c.mu.
+func (c *Conn) handleInput(receivedAt time.Time) (peerGone bool, pause time.Duration) {
+	if c.inputHandler == nil {
+		return false, 0
+	}
+	for c.readBuffer.Len() > 0 {
+		part := c.readBuffer.front()
+		gone, wait := c.inputHandler.HandleInput(part, receivedAt)
+		peerGone, pause = peerGone || gone, max(pause, wait)
+		c.consume(len(part))
+	}
+	return peerGone, pause
+}
+
 // recordRead accounts for n bytes read into readBuffer. The caller holds c.mu.
 func (c *Conn) recordRead(n int, receivedAt time.Time) {
+	if c.nextReadBytes = initialRingBytes; n == len(c.readBuffer.free()) { // more may wait in the socket
+		c.nextReadBytes = min(2*n, maxHandledBytes)
+	}
 	c.readBuffer.used += n
 	c.arrivals.record(c.consumedBytes+int64(c.readBuffer.used), receivedAt)
 	if c.readTimeout > 0 {
@@ -134,15 +166,15 @@
 	}
 }
 
-// confirmStop completes or cancels a requested stop after a read. Input that arrived before the read was
-// interrupted cancels it, also input still in the socket unless ignoreSocketInput is set. It reports
-// whether reading has stopped. The caller holds c.mu.
+// confirmStop completes or cancels a requested stop after a read, as stopMode says. It reports whether
+// reading has stopped. The caller holds c.mu.
 func (c *Conn) confirmStop(err error) bool {
 	if c.stopReason == Open || c.readStopped {
 		return c.readStopped
 	}
 	interrupted := errors.Is(err, os.ErrDeadlineExceeded)
-	if c.readBuffer.Len() > 0 || interrupted && !c.ignoreSocketInput && !c.socketInputEmpty() {
+	hasInput := c.hasInput() || interrupted && c.stopMode == stopUnlessInput && !c.socketInputEmpty()
+	if hasInput {
 		c.stopReason = Open
 		c.netConn.SetReadDeadline(time.Time{})
 		return false
@@ -165,66 +197,34 @@
 // nextReadSpace waits for free space in readBuffer and returns nil once the connection is closed. Only
 // readLoop moves the buffer's contents, so it may fill the space without holding the lock.
 func (c *Conn) nextReadSpace() []byte {
-	free, overLimit := c.waitForReadSpace()
-	if overLimit {
-		c.Close(TooLong)
-	}
-	return free
-}
-
-// waitForReadSpace implements nextReadSpace. overLimit reports that WatchForClose needs to read on but
-// the memory limit has been reached.
-func (c *Conn) waitForReadSpace() (free []byte, overLimit bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
 		c.discardUnwanted()
-		c.shrinkReadBuffer()
-		c.readBuffer.grow(max(1, c.wantedBytes-c.readBuffer.Len()))
 		if c.closeReason != Open {
-			return nil, false
-		}
-		if free := c.readBuffer.free(); len(free) > 0 {
-			return free, false
+			return nil
 		}
-		if c.inspect == nil {
-			c.changed.Wait()
-		} else if !c.extendReadBuffer() {
-			return nil, true
+		if free := c.readSpace(); len(free) > 0 {
+			return free
 		}
+		c.changed.Wait()
 	}
 }
 
-// extendReadBuffer raises the limit of readBuffer if the overflow budget allows it. The caller holds
-// c.mu.
-func (c *Conn) extendReadBuffer() bool {
-	extra := min(c.readBuffer.limit, c.overflowBudget.perConnLimit-c.readBuffer.limit)
-	if extra <= 0 || !c.overflowBudget.reserve(extra) {
-		return false
-	}
-	c.overflowBytes += extra
-	c.readBuffer.limit += extra
-	return true
-}
-
-// shrinkReadBuffer resets readBuffer if it is empty, and releases overflow memory that is no longer
-// needed. The caller holds c.mu.
-func (c *Conn) shrinkReadBuffer() {
+// readSpace returns the free space for the next read. The caller holds c.mu.
+func (c *Conn) readSpace() []byte {
 	c.readBuffer.reset()
-	if normalLimit := c.readBuffer.limit - c.overflowBytes; c.overflowBytes > 0 && c.readBuffer.Len() <= normalLimit/2 {
-		c.readBuffer.resize(normalLimit)
-		c.releaseOverflow()
+	if c.inputHandler != nil {
+		c.readBuffer.grow(c.nextReadBytes)
+	} else {
+		c.readBuffer.grow(max(1, c.wantedBytes-c.readBuffer.Len()))
 	}
+	return c.readBuffer.free()
 }
 
-// releaseOverflow returns overflow memory to the budget. The caller holds c.mu.
-func (c *Conn) releaseOverflow() {
-	if c.overflowBytes > 0 {
-		c.readBuffer.limit -= c.overflowBytes
-		c.overflowBudget.release(c.overflowBytes)
-		c.overflowBytes = 0
-	}
-}
+// maxHandledBytes limits a read for an InputHandler, so that many connections that receive large messages
+// cost little memory beside those messages.
+const maxHandledBytes = 4 << 10
 
 // discardUnwanted drops buffered input up to discardLimit. The caller holds c.mu.
 func (c *Conn) discardUnwanted() {
@@ -257,6 +257,44 @@
 	return Open
 }
 
+// SetInputHandler hands all input to handler from now on, beginning with what is buffered.
+func (c *Conn) SetInputHandler(handler InputHandler) {
+	c.mu.Lock()
+	c.inputHandler = handler
+	peerGone := false
+	for c.readBuffer.Len() > 0 {
+		first := c.arrivals[0]
+		part := c.readBuffer.front()
+		part = part[:min(int64(len(part)), first.endOffset-c.consumedBytes)]
+		gone, _ := handler.HandleInput(part, first.receivedAt)
+		peerGone = peerGone || gone
+		c.consume(len(part))
+	}
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	if peerGone {
+		c.Close(ClosedByPeer)
+	}
+}
+
+// AwaitInput waits until the InputHandler has what isReady looks for and returns Open. If reading has
+// stopped or the connection has closed without it, it returns why. isReady is called with the connection
+// locked.
+func (c *Conn) AwaitInput(isReady func() bool) CloseReason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !isReady() {
+		switch {
+		case c.readStopped:
+			return c.stopReason
+		case c.closeReason != Open:
+			return c.closeReason
+		}
+		c.changed.Wait()
+	}
+	return Open
+}
+
 // Peek copies the next len(dst) bytes without consuming them. They must have been awaited.
 func (c *Conn) Peek(dst []byte) {
 	c.mu.Lock()
@@ -324,63 +362,39 @@
 	return err == nil && empty
 }
 
-// WatchForClose keeps reading while a request is processed, so that a peer that has closed is noticed
-// behind input it sent earlier. It calls inspect on the buffered input now and after each read, closes
-// the connection once peerGone is set, and truncates the input to keepBytes unless that is negative.
-// A peer that sends more than the budget allows is disconnected. Stop ends the watch.
-func (c *Conn) WatchForClose(budget *OverflowBudget, inspect func(peekAt PeekFunc) (peerGone bool, keepBytes int)) (stop func()) {
-	c.mu.Lock()
-	c.inspect, c.overflowBudget = inspect, budget
-	peerGone := c.inspectBuffered()
-	c.changed.Broadcast()
-	c.mu.Unlock()
-	if peerGone {
-		c.Close(ClosedByPeer)
-	}
-	return func() {
-		c.mu.Lock()
-		c.inspect = nil
-		c.mu.Unlock()
-	}
-}
-
-// inspectBuffered calls inspect, if set, and reports whether the peer has gone. The caller holds c.mu.
-func (c *Conn) inspectBuffered() bool {
-	if c.inspect == nil {
-		return false
-	}
-	peerGone, keepBytes := c.inspect(c.peekAt)
-	if keepBytes >= 0 {
-		c.readBuffer.used = min(c.readBuffer.used, keepBytes)
-		c.arrivals.truncate(c.consumedBytes + int64(c.readBuffer.used))
-	}
-	return peerGone
+// hasInput reports whether input is buffered or held by inputHandler. The caller holds c.mu.
+func (c *Conn) hasInput() bool {
+	return c.readBuffer.Len() > 0 || c.inputHandler != nil && c.inputHandler.HasInput()
 }
 
-// peekAt is the PeekFunc passed to inspect. The caller holds c.mu.
-func (c *Conn) peekAt(offset int, dst []byte) bool { return c.readBuffer.peekAt(offset, dst) }
-
 // StopIfIdle stops reading from an idle connection, so that Await returns reason, and reports whether
 // it was idle. Input that arrived before the stop cancels it, also if still in the socket; later input
 // stays unread, so that closing resets the connection, which tells the peer that it was not processed.
-func (c *Conn) StopIfIdle(reason CloseReason) bool { return c.stopIfIdle(reason, false) }
+func (c *Conn) StopIfIdle(reason CloseReason) bool { return c.stopIfIdle(reason, stopUnlessInput) }
 
 // ForceStopIfIdle is like StopIfIdle, but input still in the socket does not cancel the stop. It is
 // for a peer that was told that it has received its last answer.
-func (c *Conn) ForceStopIfIdle(reason CloseReason) bool { return c.stopIfIdle(reason, true) }
+func (c *Conn) ForceStopIfIdle(reason CloseReason) bool {
+	return c.stopIfIdle(reason, stopUnlessBuffered)
+}
 
 // stopIfIdle implements StopIfIdle and ForceStopIfIdle.
-func (c *Conn) stopIfIdle(reason CloseReason, ignoreSocketInput bool) bool {
+func (c *Conn) stopIfIdle(reason CloseReason, mode stopMode) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := c.closeReason == Open && c.readBuffer.Len() == 0 && c.discardLimit == 0
+	idle := c.closeReason == Open && !c.hasInput() && c.discardLimit == 0
 	if idle {
-		c.stopReason, c.ignoreSocketInput = reason, ignoreSocketInput
-		c.netConn.SetReadDeadline(time.Unix(1, 0)) // in the past, to interrupt a pending read
+		c.requestStop(reason, mode)
 	}
 	return idle
 }
 
+// requestStop interrupts a pending read, after which readLoop confirms the stop. The caller holds c.mu.
+func (c *Conn) requestStop(reason CloseReason, mode stopMode) {
+	c.stopReason, c.stopMode = reason, mode
+	c.netConn.SetReadDeadline(time.Unix(1, 0)) // in the past
+}
+
 // Interrupt stops reading, also within a message, so that Await returns reason.
 func (c *Conn) Interrupt(reason CloseReason) {
 	c.mu.Lock()
@@ -414,7 +428,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.discardLimit = discardLimit
+	c.inputHandler, c.discardLimit = nil, discardLimit
 	c.stopReason, c.readStopped = Open, false
 	c.netConn.SetReadDeadline(time.Time{})
 	c.changed.Broadcast()
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -90,17 +90,6 @@
 	copy(dst[n:], r.buf)
 }
 
-// peekAt copies bytes from offset on without consuming them. It returns false if too few are buffered.
-func (r *RingBuffer) peekAt(offset int, dst []byte) bool {
-	if offset+len(dst) > r.used {
-		return false
-	}
-	for i := range dst {
-		dst[i] = r.buf[(r.head+offset+i)%len(r.buf)]
-	}
-	return true
-}
-
 // discard drops the n oldest bytes. It does not move the free space, which readLoop may be filling.
 func (r *RingBuffer) discard(n int) {
 	if n > 0 {
