--- a/internal/program/fakes_test.go
+++ b/internal/program/fakes_test.go
@@ -83,6 +83,7 @@
 	statusFunc func() status // status in answers; nil for role and the current time
 	reportFunc func() string // load report; nil for one with the status
 	exchanges  []exchange    // clients' statements in the order of their answers
+	workTime   time.Duration // of each statement of a client
 	probes     int           // received
 	opened     int           // connections that sent a startup message
 	conns      map[net.Conn]bool
@@ -202,7 +203,12 @@
 		m.linkLock.RLock()
 		//lint:ignore SA2001 waits while holdLink blocks the link
 		m.linkLock.RUnlock()
-		io.WriteString(conn, m.answer(conn, strings.TrimSuffix(body, "\x00"), receivedAt))
+		statement := strings.TrimSuffix(body, "\x00")
+		answer := m.answer(conn, statement, receivedAt)
+		if m.workTime > 0 && statement != "SHOW server_load" {
+			time.Sleep(m.workTime)
+		}
+		io.WriteString(conn, answer)
 	}
 }
 
--- a/internal/program/idle_clients.go
+++ b/internal/program/idle_clients.go
@@ -26,6 +26,7 @@
 // are idle for too long or too many, and evicts new clients first when descriptors run short.
 type idleClients struct {
 	descriptors   *transport.Descriptors
+	inputs        *protocol.Inputs
 	mu            sync.Mutex
 	newClients    list.List
 	servedClients list.List
@@ -115,15 +116,6 @@
 	}
 }
 
-// stopBeforeLastAnswer stops reading from a client while draining, and reports whether the answer
-// about to be sent is its last. Nothing that the client sends after that answer is processed.
-func (i *idleClients) stopBeforeLastAnswer(client protocol.Client) bool {
-	i.mu.Lock()
-	draining := i.draining
-	i.mu.Unlock()
-	return draining && client.ForceStopIfIdle(transport.ShutDown) && client.AwaitQuery() == transport.ShutDown
-}
-
 // sweep closes the clients of a list that have been idle for maxIdle, or at once while draining. A
 // client with a partial message has messageTimeout to complete it.
 func (i *idleClients) sweep(clients *list.List, now time.Time, maxIdle, messageTimeout time.Duration) {
@@ -157,6 +149,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.draining = true
+	i.inputs.Drain()
 	for _, clients := range []*list.List{&i.newClients, &i.servedClients} {
 		for element := clients.Front(); element != nil; element = element.Next() {
 			element.Value.(*idleClient).conn.StopIfIdle(transport.ShutDown)
--- a/internal/program/idle_clients_test.go
+++ b/internal/program/idle_clients_test.go
@@ -16,7 +16,7 @@
 // Guards against accepting a query that arrives after the last answer on a connection that is being
 // shut down.
 func TestNoQueryAfterLastAnswer(t *testing.T) {
-	descriptors := transport.NewDescriptors(64)
+	descriptors, inputs := transport.NewDescriptors(64), protocol.NewInputs(1<<20)
 	listener, err := transport.Listen("127.0.0.1:0", descriptors, protocol.RingBytes)
 	require.NoError(t, err)
 	defer listener.Close()
@@ -27,17 +27,17 @@
 		c, err := listener.Accept(context.Background(), 1, func(bool) {})
 		require.NoError(t, err)
 		t.Cleanup(func() { c.Close(transport.ShutDown) })
-		return protocol.NewClient(c, protocol.NewInputs(1<<20)), remote.(*net.TCPConn)
+		return protocol.NewClient(c, inputs), remote.(*net.TCPConn)
 	}
 	const query = "Q\x00\x00\x00\x06x\x00"
-	idle := &idleClients{descriptors: descriptors}
+	idle := &idleClients{descriptors: descriptors, inputs: inputs}
 	c, remote := connect()
-	require.False(t, idle.stopBeforeLastAnswer(c), "not draining yet")
+	require.False(t, c.StopBeforeLastAnswer(), "not draining yet")
 	io.WriteString(remote, query)
 	_, _, reason := c.ReadQuery()
 	require.Equal(t, transport.Open, reason)
 	idle.drain()
-	require.True(t, idle.stopBeforeLastAnswer(c))
+	require.True(t, c.StopBeforeLastAnswer())
 	require.Equal(t, transport.Open, c.SendEmpty())
 	answer := make([]byte, 11)
 	_, err = io.ReadFull(remote, answer)
@@ -50,8 +50,8 @@
 	c, remote = connect()
 	io.WriteString(remote, query)
 	require.Equal(t, transport.Open, c.Await(7))
-	require.False(t, idle.stopBeforeLastAnswer(c), "received queries are answered first")
+	require.False(t, c.StopBeforeLastAnswer(), "received queries are answered first")
 	_, _, reason = c.ReadQuery()
 	require.Equal(t, transport.Open, reason)
-	require.True(t, idle.stopBeforeLastAnswer(c))
+	require.True(t, c.StopBeforeLastAnswer())
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand"
 	"os"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -29,6 +28,7 @@
 	idleClients      *idleClients
 	cancels          *cancelRegistry
 	inputs           *protocol.Inputs // of the clients
+	draining         drainState
 	peers            *peers
 	discovery        *discoverySource
 	readiness        *readiness
@@ -36,19 +36,15 @@
 	tasks            errgroup.Group    // attempts, probes and the discovery watch
 }
 
-// drainDelay is how long this driver keeps accepting clients after a shutdown request, so that
-// clients learn of it first.
-const drainDelay = 600 * time.Millisecond
-
 // Run serves until the context ends and then shuts down gracefully. It reloads the configuration
 // file on each signal from reload.
 func Run(ctx context.Context, config *Config, reload <-chan os.Signal, log logrus.FieldLogger) error {
 	lifetime, endLifetime := context.WithCancelCause(context.Background())
 	defer endLifetime(transport.ShutDown)
 	descriptors := transport.NewDescriptors(int(config.Sockets))
-	p := &Program{config: config, log: log, lifetime: lifetime,
-		idleClients: &idleClients{descriptors: descriptors}, cancels: newCancelRegistry(), descriptors: descriptors,
-		inputs:    protocol.NewInputs(int(config.MemoryMB<<20) / inputMemoryDivisor),
+	inputs := protocol.NewInputs(int(config.MemoryMB<<20) / inputMemoryDivisor)
+	p := &Program{config: config, log: log, lifetime: lifetime, inputs: inputs,
+		idleClients: &idleClients{descriptors: descriptors, inputs: inputs}, cancels: newCancelRegistry(), descriptors: descriptors,
 		discovery: &discoverySource{address: config.Discovery, rng: rand.New(rand.NewSource(config.Seed))}}
 	var err error
 	if p.router, err = routing.New(config.Settings, config.Seed, config.KnownTargets, log); err != nil {
@@ -118,29 +114,3 @@
 		p.pools.evict()
 	}
 }
-
-// shutDown keeps serving for drainDelay and then closes each client connection once its queries are
-// answered.
-//
-//	phase     behavior                                                     limit
-//	draining  everything is served; clients may still connect              drainDelay
-//	closing   the listener is closed; idle clients are closed; a partial   partialMessageTimeout, then
-//	          message may be completed; received queries are answered,     the longest RPC timeout
-//	          and nothing is read before a connection's last answer
-//	linger    each connection: the driver closes its side, discards        clientWriteTimeout and
-//	          input, and closes once the client has closed its side        lingerTime
-//
-// The overall limit is for clients that pipeline more queries than can be answered in that time.
-func (p *Program) shutDown(listener *transport.Listener, sessions *errgroup.Group) {
-	p.log.Info("leaving")
-	time.Sleep(drainDelay)
-	listener.Close()
-	p.idleClients.drain()
-	ended := make(chan struct{})
-	go func() { sessions.Wait(); close(ended) }()
-	select {
-	case <-ended:
-	case <-time.After(partialMessageTimeout + p.router.MaxTimeLeft() + clientWriteTimeout + lingerTime):
-		p.log.Warn("shutdown timed out with clients still connected")
-	}
-}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -80,6 +80,7 @@
 	statement, err := protocol.ParseStatement(text)
 	if err == nil {
 		request := newRequest(&statement, identity, receivedAt)
+		request.AnswerBy = p.draining.answerBy(receivedAt)
 		rpc, err = p.router.Admit(&request)
 	}
 	if err != nil {
@@ -127,10 +128,10 @@
 	if final.Action == routing.ActionServe {
 		defer rpc.AnswerDelivered()
 	}
-	isLast := p.idleClients.stopBeforeLastAnswer(client)
+	isLast := client.StopBeforeLastAnswer()
 	reason := p.sendAnswer(client, final)
 	if isLast && reason == transport.Open {
-		return transport.ShutDown
+		return client.RefuseRest()
 	}
 	return reason
 }
--- a/internal/program/shutdown_test.go
+++ b/internal/program/shutdown_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -129,3 +130,127 @@
 	driver.waitForExit(t, 3*time.Second)
 	require.Empty(t, primary.statements())
 }
+
+// earliestKill is when the platform may kill a driver that was asked to shut down, with the usual settings.
+const earliestKill = maxDeadline + killDelay
+
+// pipeliningClient keeps several queries out on one connection for as long as it is open.
+type pipeliningClient struct {
+	conn    *pgConn
+	mu      sync.Mutex
+	sent    []string // ids
+	replies []string // in the order of the queries
+}
+
+// run sends a query for each free place of the window, 0 for one without limit, until the connection ends.
+func (c *pipeliningClient) run(t *testing.T, window int) {
+	var writer sync.WaitGroup
+	places := make(chan struct{}, max(1, window))
+	ended := make(chan struct{})
+	writer.Go(func() {
+		for {
+			if window > 0 {
+				select {
+				case places <- struct{}{}:
+				case <-ended:
+					return
+				}
+			}
+			text := statement("write", 1500)
+			c.mu.Lock()
+			c.sent = append(c.sent, rpcID(text))
+			c.mu.Unlock()
+			if _, err := io.WriteString(c.conn, message("Q", text+"\x00")); err != nil {
+				return
+			}
+		}
+	})
+	for reply := c.conn.readReply(t); reply != "end"; reply = c.conn.readReply(t) {
+		c.replies = append(c.replies, reply)
+		if strings.HasSuffix(reply, "end") {
+			break
+		}
+		select {
+		case <-places:
+		default:
+		}
+	}
+	close(ended)
+	c.conn.Close()
+	writer.Wait()
+}
+
+// Guards against a shutdown that goes on reading from clients which always have further queries out: those
+// are forwarded late and get no answer when the driver is killed.
+func TestPipeliningClientsAtShutdown(t *testing.T) {
+	primary := newFakeMember(t, "p", "leader")
+	primary.workTime = 60 * time.Millisecond
+	driver := startProcess(t, newFakeDiscovery(t, primary), nil)
+	var clients sync.WaitGroup
+	var all []*pipeliningClient
+	for _, window := range []int{2, 2, 4, 16, 0} {
+		client := &pipeliningClient{conn: driver.connect(t)}
+		all = append(all, client)
+		clients.Go(func() { client.run(t, window) })
+	}
+	trickling := driver.connect(t)
+	clients.Go(func() {
+		for _, letter := range message("Q", statement("write", 1900)+"\x00") {
+			if _, err := io.WriteString(trickling, string(letter)); err != nil {
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
+	driver.signal(syscall.SIGTERM)
+	requestedAt := time.Now()
+	driver.waitForExit(t, earliestKill)
+	t.Logf("the driver ends %v after SIGTERM", time.Since(requestedAt))
+	trickling.Close()
+	clients.Wait()
+	forwarded := map[string]bool{}
+	for _, text := range primary.statements() {
+		forwarded[rpcID(text)] = true
+	}
+	for i, client := range all {
+		served, refused, aborted := 0, 0, 0
+		for n, id := range client.sent {
+			switch {
+			case n >= len(client.replies):
+				require.False(t, forwarded[id], "client %d, query %d was forwarded and has no answer", i, n)
+			case strings.Contains(client.replies[n], "57P03") || client.replies[n] == "53300":
+				require.False(t, forwarded[id], "client %d, query %d was forwarded and refused", i, n)
+				refused++
+			case strings.Contains(client.replies[n], "08007"): // of the client without limit, many outlast their time
+				aborted++
+			default:
+				require.Equal(t, "from p", client.replies[n], "client %d, query %d", i, n)
+				served++
+			}
+		}
+		t.Logf("client %d sent %d, served %d, refused %d, aborted %d", i, len(client.sent), served, refused, aborted)
+		require.True(t, aborted == 0 || i == len(all)-1)
+		require.Greater(t, served, 5)
+	}
+}
+
+// Guards against a query whose last byte comes during the shutdown and whose answer comes only after this driver
+// may have been killed.
+func TestQueryCompletedDuringShutdown(t *testing.T) {
+	primary := newFakeMember(t, "p", "leader")
+	driver := startProcess(t, newFakeDiscovery(t, primary), nil)
+	client := driver.connect(t)
+	require.Equal(t, "from p", client.ask(t, statement("write", 1000)))
+	primary.setBehavior("silent")
+	query := message("Q", statement("write", 1900)+"\x00")
+	io.WriteString(client, query[:50])
+	driver.signal(syscall.SIGTERM)
+	requestedAt := time.Now()
+	time.Sleep(1300 * time.Millisecond)
+	io.WriteString(client, query[50:])
+	require.Equal(t, "08007", client.readReply(t), "a whole answer")
+	require.Less(t, time.Since(requestedAt), earliestKill)
+	require.Equal(t, "end", client.readReply(t))
+	driver.waitForExit(t, time.Second)
+}
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -143,7 +143,7 @@
 		case reason != transport.Open:
 			return "", receivedAt, reason
 		case entry.refused > 0:
-			reason = c.sendRefusals(entry.refused)
+			reason = c.refuse(entry.refused)
 		case entry.kind == kindQuery:
 			if terminator := strings.IndexByte(entry.body, 0); terminator < 0 || terminator != len(entry.body)-1 {
 				return "", receivedAt, c.sendFatal(StateProtocolViolation, "the query is not one string", transport.Malformed)
@@ -180,17 +180,50 @@
 	}
 }
 
+// refuse answers queries that were not taken. While draining they are a connection's last.
+func (c Client) refuse(queries int) transport.CloseReason {
+	isLast := c.StopBeforeLastAnswer()
+	if reason := c.sendRefusals(queries); reason != transport.Open || !isLast {
+		return reason
+	}
+	return c.RefuseRest()
+}
+
 // sendRefusals answers queries, one after another, with an error that says that trying again is harmless.
 func (c Client) sendRefusals(queries int) transport.CloseReason {
+	refusal := Pushback(0)
+	if c.input.shared.draining.Load() {
+		refusal.SQLState = StateCannotConnectNow
+	}
 	for range queries {
-		writeFailure(c.Conn, Pushback(0))
+		writeFailure(c.Conn, refusal)
 		writeMessage(c.Conn, kindReady, "I")
 	}
 	return c.Flush()
 }
 
-// AwaitQuery waits until the client has sent a query, or until no more is read.
-func (c Client) AwaitQuery() transport.CloseReason { return c.AwaitInput(c.input.hasEntry) }
+// StopBeforeLastAnswer stops reading if the answer about to be sent is that to the last query which is
+// processed on this connection, because this process drains, and reports whether it is. RefuseRest comes
+// behind that answer.
+func (c Client) StopBeforeLastAnswer() bool {
+	if !c.input.shared.draining.Load() || c.Buffered() > 0 || c.input.hasQuery() {
+		return false
+	}
+	c.StopReading(transport.ShutDown)
+	return true
+}
+
+// RefuseRest refuses what was received behind the last query, also in part, and returns ShutDown. What comes
+// later is not read, so that its client asks again on another connection.
+func (c Client) RefuseRest() transport.CloseReason {
+	if reason := c.sendRefusals(c.input.takeUnanswered()); reason != transport.Open {
+		return reason
+	}
+	if c.input.hasPart() {
+		return c.sendFatal(StateCannotConnectNow, "the driver ends, trying again is harmless", transport.ShutDown)
+	}
+	return transport.ShutDown
+}
 
 // rejectExtended answers an extended query with an error and skips the rest of its messages.
 func (c Client) rejectExtended(kind byte) transport.CloseReason {
--- a/internal/protocol/client_input.go
+++ b/internal/protocol/client_input.go
@@ -14,7 +14,8 @@
 // commands that wait.
 //
 // A query that may not be held is refused: its bytes are dropped, and in its turn the client is told that
-// trying again is harmless. That happens for want of memory, see Inputs.
+// trying again is harmless. That happens for want of memory, see Inputs, and while this process drains to
+// queries that began too late.
 //
 //	the message being received   on its next bytes
 //	none                         its header is collected
@@ -33,10 +34,11 @@
 	raw       []byte // its bytes, if it is kept
 	isRefused bool   // it is dropped
 	ended     bool
-	held      int // bytes held in queue, raw and by the session
-	taken     int // of held, by the session for the message that it processes
-	reserved  int // of held, in shared
-	dropped   int // bytes dropped since the session was last waiting
+	held      int  // bytes held in queue, raw and by the session
+	taken     int  // of held, by the session for the message that it processes
+	reserved  int  // of held, in shared
+	tookLast  bool // while draining, one more query was taken
+	dropped   int  // bytes dropped since the session was last waiting
 }
 
 // inputEntry is what the session takes from the queue in one turn: a message, the refusal of queries, or the
@@ -110,9 +112,21 @@
 		return
 	}
 	in.total = int(length) + 1
+	in.isRefused = in.header[0] == kindQuery && !in.mayBegin()
 	in.keep(in.header[:])
 }
 
+// mayBegin reports whether a query that begins now may be taken. While draining that is one, if none is
+// there.
+func (in *clientInput) mayBegin() bool {
+	if !in.shared.draining.Load() {
+		return true
+	}
+	mayBegin := !in.tookLast && in.taken == 0 && len(in.queue) == 0
+	in.tookLast = true
+	return mayBegin
+}
+
 // receiveBody takes what input has of the message's body and returns the rest.
 func (in *clientInput) receiveBody(input []byte) (rest []byte) {
 	n := min(len(input), in.total-in.received)
@@ -256,6 +270,29 @@
 	return in.received > 0
 }
 
+// hasQuery reports whether a query waits, or is being received, that is not refused.
+func (in *clientInput) hasQuery() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, entry := range in.queue {
+		if entry.raw != "" || entry.end != transport.Open {
+			return true
+		}
+	}
+	return in.received > 0 && !in.isRefused
+}
+
+// takeUnanswered empties the queue and returns how many queries were in it, refused or not.
+func (in *clientInput) takeUnanswered() (queries int) {
+	for entry, ok := in.take(); ok; entry, ok = in.take() {
+		queries += entry.refused
+		if entry.kind == kindQuery {
+			queries++
+		}
+	}
+	return queries
+}
+
 // release gives back all memory. The input must not be used any more.
 func (in *clientInput) release() {
 	in.mu.Lock()
--- a/internal/protocol/client_input_test.go
+++ b/internal/protocol/client_input_test.go
@@ -1,6 +1,8 @@
 package protocol
 
 import (
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -110,6 +112,48 @@
 	require.Equal(t, []string{transport.TooLong.String()}, takeAll(in), "what has no answer of its own can't be refused")
 }
 
+// Guards against a shutdown that never ends for a client which keeps sending, and against queries that are read
+// and then get no answer: those that began in time are kept, the later ones refused, what comes after the last
+// answer stays unread.
+func TestQueriesWhileDraining(t *testing.T) {
+	shared := NewInputs(1 << 20)
+	in, feed := newInput(shared)
+	query := func(text string) string { return encodeMessage(kindQuery, text+"\x00") }
+	feed(query("running")+query("waiting")+query("begun")[:7], time.Now())
+	in.take()
+	shared.Drain()
+	feed(query("begun")[7:]+query("late")+query("later"), time.Now())
+	require.True(t, in.hasQuery())
+	require.Equal(t, []string{"waiting\x00", "begun\x00", "refused", "refused"}, takeAll(in))
+	feed(query("last"), time.Now())
+	require.Equal(t, []string{"refused"}, takeAll(in), "the connection has had its last query")
+
+	idle, feedIdle := newInput(shared)
+	feedIdle(query("crossing")+query("late"), time.Now())
+	require.Equal(t, []string{"crossing\x00", "refused"}, takeAll(idle), "one that crosses the end of an idle connection is served")
+
+	local, remote := net.Pipe()
+	client := NewClient(transport.NewConn(t.Context(), local, RingBytes, func() {}), shared)
+	replies := make(chan string, 1)
+	go func() {
+		io.WriteString(remote, query("one")+query("two")+query("three")+query("four")[:6])
+		text, _ := io.ReadAll(remote)
+		replies <- string(text)
+	}()
+	text, _, reason := client.ReadQuery()
+	require.Equal(t, transport.Open, reason)
+	require.Equal(t, "one", text)
+	require.Eventually(t, client.input.hasPart, time.Second, time.Millisecond)
+	require.True(t, client.StopBeforeLastAnswer())
+	client.SendEmpty()
+	require.Equal(t, transport.ShutDown, client.RefuseRest())
+	client.Close(transport.ShutDown)
+	got := <-replies
+	require.Equal(t, 3, strings.Count(got, StateCannotConnectNow), "two whole queries and one in part")
+	require.Equal(t, 1, strings.Count(got, "FATAL\x00V"))
+	require.Less(t, strings.Index(got, encodeMessage(kindEmptyQuery, "")), strings.Index(got, StateCannotConnectNow), "behind the answer")
+}
+
 // Guards against a client that sends without end behind a running query and takes the processor from others.
 func TestFloodIsReadSlowly(t *testing.T) {
 	in, _ := newInput(NewInputs(0))
--- a/internal/protocol/inputs.go
+++ b/internal/protocol/inputs.go
@@ -2,10 +2,14 @@
 
 import (
 	"sync"
+	"sync/atomic"
 )
 
-// Inputs is what the inputs of all client connections share: the memory that they may hold.
+// Inputs is what the inputs of all client connections share: the memory that they may hold, and whether
+// this process is draining.
 type Inputs struct {
+	draining atomic.Bool
+
 	mu        sync.Mutex
 	available int // bytes that may still be reserved
 }
@@ -23,6 +27,10 @@
 	return &Inputs{available: limit}
 }
 
+// Drain makes each connection process only the commands that have begun to arrive, and one more if there
+// are none. The others are refused.
+func (s *Inputs) Drain() { s.draining.Store(true) }
+
 // Available returns how many bytes may still be reserved.
 func (s *Inputs) Available() int {
 	s.mu.Lock()
--- a/internal/routing/active_rpc.go
+++ b/internal/routing/active_rpc.go
@@ -45,6 +45,7 @@
 	Group       rules.GroupID // named by the client; ignored if tenants are assigned to cells
 	TimeLeft    int64         // how long the client waits, from ReceivedAt
 	ReceivedAt  time.Time     // zero for now
+	AnswerBy    time.Time     // when this driver may end; zero for never
 	MinPosition int64         // position that a read must see, 0 for none
 	User        string        // user and database of the client's connection
 	Database    string
@@ -94,6 +95,9 @@
 	}
 	rpc := rules.RPC{Method: methodID, Group: request.Group, Session: request.Key, TimeLeft: request.TimeLeft,
 		IsRetry: request.IsRetry, SessionToken: request.MinPosition}
+	if !request.AnswerBy.IsZero() {
+		rpc.TimeLeft = min(rpc.TimeLeft, int64(request.AnswerBy.Sub(request.ReceivedAt)))
+	}
 	if !request.ReceivedAt.IsZero() {
 		rpc.Waited = max(0, r.now()-r.clockTime(request.ReceivedAt))
 		rpc.TimeLeft -= rpc.Waited
@@ -135,6 +139,18 @@
 	return longest
 }
 
+// LongestDeadline returns the longest deadline of any method.
+func (r *Router) LongestDeadline() (longest time.Duration) {
+	for i := range r.methods {
+		deadline := r.methods[i].Deadline
+		if deadline <= 0 {
+			deadline = defaultMaxTimeLeft
+		}
+		longest = max(longest, time.Duration(deadline))
+	}
+	return longest
+}
+
 // newActiveRPC registers an RPC under a new number. r.mu must be held.
 func (r *Router) newActiveRPC(clientID string) *ActiveRPC {
 	r.lastRPC++
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -29,7 +29,7 @@
 	nextReadBytes int          // size of the next read for inputHandler
 	inputHandler  InputHandler // takes the contents of readBuffer after each read; nil for none
 	stopReason    CloseReason  // what Await returns once reading has stopped
-	stopMode      stopMode     // what a requested stop does about input
+	stopAnyway    bool         // a requested stop is not cancelled by input
 	readStopped   bool         // readLoop is paused by a stop or by Interrupt
 	discardLimit  int          // bytes of input that Linger still discards
 	readTimeout   time.Duration
@@ -51,14 +51,6 @@
 	HasInput() bool
 }
 
-// stopMode says which input cancels a requested stop of reading.
-type stopMode int
-
-const (
-	stopUnlessInput    stopMode = iota // input that is held or still in the socket
-	stopUnlessBuffered                 // input that is held
-)
-
 // NewConn wraps netConn with buffers of up to bufferLimit bytes per direction and starts reading. The
 // connection closes when ctx ends; release is called once after it has closed.
 func NewConn(ctx context.Context, netConn net.Conn, bufferLimit int, release func()) *Conn {
@@ -166,15 +158,15 @@
 	}
 }
 
-// confirmStop completes or cancels a requested stop after a read, as stopMode says. It reports whether
+// confirmStop completes or cancels a requested stop after a read. Input that arrived before the read was
+// interrupted cancels it, also input still in the socket, unless stopAnyway is set. It reports whether
 // reading has stopped. The caller holds c.mu.
 func (c *Conn) confirmStop(err error) bool {
 	if c.stopReason == Open || c.readStopped {
 		return c.readStopped
 	}
 	interrupted := errors.Is(err, os.ErrDeadlineExceeded)
-	hasInput := c.hasInput() || interrupted && c.stopMode == stopUnlessInput && !c.socketInputEmpty()
-	if hasInput {
+	if !c.stopAnyway && (c.hasInput() || interrupted && !c.socketInputEmpty()) {
 		c.stopReason = Open
 		c.netConn.SetReadDeadline(time.Time{})
 		return false
@@ -370,28 +362,30 @@
 // StopIfIdle stops reading from an idle connection, so that Await returns reason, and reports whether
 // it was idle. Input that arrived before the stop cancels it, also if still in the socket; later input
 // stays unread, so that closing resets the connection, which tells the peer that it was not processed.
-func (c *Conn) StopIfIdle(reason CloseReason) bool { return c.stopIfIdle(reason, stopUnlessInput) }
-
-// ForceStopIfIdle is like StopIfIdle, but input still in the socket does not cancel the stop. It is
-// for a peer that was told that it has received its last answer.
-func (c *Conn) ForceStopIfIdle(reason CloseReason) bool {
-	return c.stopIfIdle(reason, stopUnlessBuffered)
-}
-
-// stopIfIdle implements StopIfIdle and ForceStopIfIdle.
-func (c *Conn) stopIfIdle(reason CloseReason, mode stopMode) bool {
+func (c *Conn) StopIfIdle(reason CloseReason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.closeReason == Open && !c.hasInput() && c.discardLimit == 0
 	if idle {
-		c.requestStop(reason, mode)
+		c.requestStop(reason, false)
 	}
 	return idle
 }
 
+// StopReading stops reading whatever has arrived, and returns once no more input is taken. What the
+// InputHandler holds by then can still be taken out; later input stays unread.
+func (c *Conn) StopReading(reason CloseReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestStop(reason, true)
+	for !c.readStopped && c.closeReason == Open {
+		c.changed.Wait()
+	}
+}
+
 // requestStop interrupts a pending read, after which readLoop confirms the stop. The caller holds c.mu.
-func (c *Conn) requestStop(reason CloseReason, mode stopMode) {
-	c.stopReason, c.stopMode = reason, mode
+func (c *Conn) requestStop(reason CloseReason, anyway bool) {
+	c.stopReason, c.stopAnyway = reason, anyway
 	c.netConn.SetReadDeadline(time.Unix(1, 0)) // in the past
 }
 
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -236,11 +236,11 @@
 const lingerTimeout = 2 * time.Second
 
 // Guards against losing a query that arrives while its connection is being stopped, after the read was
-// interrupted. ForceStopIfIdle ignores such a query.
+// interrupted. StopReading leaves such a query in the socket.
 func TestStopIfIdleKeepsSocketInput(t *testing.T) {
 	require.Equal(t, Open, reasonWhenQueryFollowsStop(t, func(c *Conn) bool { return c.StopIfIdle(Evicted) }))
 	require.Equal(t, Open, reasonWhenQueryFollowsStop(t, func(c *Conn) bool { return c.StopIfIdle(ShutDown) }))
-	require.Equal(t, ShutDown, reasonWhenQueryFollowsStop(t, func(c *Conn) bool { return c.ForceStopIfIdle(ShutDown) }))
+	require.Equal(t, ShutDown, reasonWhenQueryFollowsStop(t, func(c *Conn) bool { go c.StopReading(ShutDown); return true }))
 }
 
 // reasonWhenQueryFollowsStop stops a connection just before a query arrives and returns Await's result.
@@ -338,6 +338,27 @@
 	require.Equal(t, ClosedByPeer, c.AwaitInput(func() bool { return false }), "the handler knows that the peer has gone")
 }
 
+// Guards against a shutdown that never comes to an end because input keeps arriving: StopReading stops whatever
+// has arrived, and nothing later is taken.
+func TestStopReadingWhileInputArrives(t *testing.T) {
+	c, peer, _ := newConnPair(t, 1000)
+	handler := &recordingHandler{}
+	c.SetInputHandler(handler)
+	go func() {
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(peer, "query")
+		}
+	}()
+	require.Equal(t, Open, c.AwaitInput(handler.HasInput))
+	require.False(t, c.StopIfIdle(ShutDown))
+	c.StopReading(ShutDown)
+	held := handler.length()
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, held, handler.length())
+	require.Equal(t, ShutDown, c.AwaitInput(func() bool { return false }))
+	c.Close(ShutDown)
+}
+
 // Guards against taking a socket that cannot be checked for an empty one.
 func TestUnreadableSocketMayHoldInput(t *testing.T) {
 	c, _, _ := newConnPair(t, 1000)
