A client whose input crosses the request to stop its connection is looked at again

Cause: idleClients took a client out of its list as soon as Conn.StopIfIdle had asked the connection to stop. A flood makes that likely, since new clients are asked to stop after 100 ms.

Change: a client stays in its list until its session takes it out. One that was asked less than 50 ms ago counts as stopping, so that the next eviction asks another.

--- a/internal/program/idle_clients.go
+++ b/internal/program/idle_clients.go
@@ -18,7 +18,8 @@
 	partialMessageTimeout   = time.Second            // to complete a partly received message
 	newClientMinIdle        = 100 * time.Millisecond // before a client without an RPC may be evicted
 	sweepInterval           = 100 * time.Millisecond
-	idleClientsDivisor      = 6 // each list holds at most 1/6 of the descriptors
+	stopRetryInterval       = 50 * time.Millisecond // until a connection that should have stopped is asked again
+	idleClientsDivisor      = 6                     // each list holds at most 1/6 of the descriptors
 )
 
 // idleClients tracks the clients without a running query, in the order in which they became idle:
@@ -40,6 +41,23 @@
 	cell         cells.Cell // cell of the last RPC
 	idleSince    time.Time
 	partialSince time.Time // when a partial message was first seen; zero for never
+	stopAskedAt  time.Time // when the connection was last asked to stop; zero for never
+}
+
+// stop asks the connection to stop reading if it is idle and reports whether it was. Input that crosses
+// the request cancels it, so the client stays in its list until its session takes it out: one that was
+// forgotten here could stop in the middle of a message and stay for good.
+func (c *idleClient) stop(reason transport.CloseReason, now time.Time) bool {
+	isIdle := c.conn.StopIfIdle(reason)
+	if isIdle {
+		c.stopAskedAt = now
+	}
+	return isIdle
+}
+
+// isStopping reports whether the connection was asked to stop a moment ago.
+func (c *idleClient) isStopping(now time.Time) bool {
+	return now.Sub(c.stopAskedAt) < stopRetryInterval
 }
 
 // add tracks a client until remove is called. While draining it closes the client, unless a query
@@ -89,12 +107,11 @@
 // held.
 func (i *idleClients) evictFromCell(clients *list.List, minIdle time.Duration, force bool, cell cells.Cell) bool {
 	for element := clients.Front(); element != nil; element = element.Next() {
-		client := element.Value.(*idleClient)
-		if !force && time.Since(client.idleSince) < minIdle {
+		client, now := element.Value.(*idleClient), time.Now()
+		if !force && now.Sub(client.idleSince) < minIdle {
 			return false
 		}
-		if (cell == cells.NoCell || cell == client.cell) && client.conn.StopIfIdle(transport.Evicted) {
-			clients.Remove(element)
+		if (cell == cells.NoCell || cell == client.cell) && !client.isStopping(now) && client.stop(transport.Evicted, now) {
 			return true
 		}
 	}
@@ -135,8 +152,7 @@
 			client.partialSince = now
 		}
 		switch {
-		case client.conn.StopIfIdle(reason):
-			clients.Remove(current)
+		case client.isStopping(now) || client.stop(reason, now):
 		case now.Sub(client.partialSince) >= messageTimeout:
 			client.conn.Interrupt(transport.Stalled)
 			clients.Remove(current)
@@ -152,7 +168,7 @@
 	i.inputs.Drain()
 	for _, clients := range []*list.List{&i.newClients, &i.servedClients} {
 		for element := clients.Front(); element != nil; element = element.Next() {
-			element.Value.(*idleClient).conn.StopIfIdle(transport.ShutDown)
+			element.Value.(*idleClient).stop(transport.ShutDown, time.Now())
 		}
 	}
 }
--- a/internal/program/idle_clients_test.go
+++ b/internal/program/idle_clients_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"sedgespread/internal/cells"
 	"sedgespread/internal/protocol"
 	"sedgespread/internal/transport"
 )
@@ -55,3 +59,60 @@
 	require.Equal(t, transport.Open, reason)
 	require.True(t, c.StopBeforeLastAnswer())
 }
+
+// heldReadConn delays the return of an interrupted Read until proceed is closed.
+type heldReadConn struct {
+	*net.TCPConn
+	interrupted, proceed chan struct{}
+	once                 sync.Once
+}
+
+func (c *heldReadConn) Read(buf []byte) (int, error) {
+	n, err := c.TCPConn.Read(buf)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.once.Do(func() {
+			close(c.interrupted)
+			<-c.proceed
+		})
+	}
+	return n, err
+}
+
+// Guards against a client that is forgotten, and so may stay for good in the middle of a message, because its
+// input crossed the request to stop its idle connection.
+func TestClientThatIsNotStoppedIsLookedAtAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	remote, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer remote.Close()
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	held := &heldReadConn{TCPConn: accepted.(*net.TCPConn), interrupted: make(chan struct{}), proceed: make(chan struct{})}
+	inputs := protocol.NewInputs(1 << 20)
+	client := protocol.NewClient(transport.NewConn(context.Background(), held, protocol.RingBytes, func() {}), inputs)
+	defer client.Close(transport.ShutDown)
+	idle := &idleClients{descriptors: transport.NewDescriptors(64), inputs: inputs}
+	remove := idle.add(client, false, cells.NoCell)
+	defer remove()
+	require.True(t, idle.evict(true), "asks the connection to stop")
+	<-held.interrupted
+	io.WriteString(remote, "Q\x00\x00\x01\x00half")
+	require.Eventually(t, func() bool { return !client.HasNoPendingInput() }, time.Second, time.Millisecond)
+	close(held.proceed)
+	read := make(chan transport.CloseReason, 1)
+	go func() {
+		_, _, reason := client.ReadQuery()
+		read <- reason
+	}()
+	time.Sleep(50 * time.Millisecond)
+	require.Empty(t, read, "the input cancelled the stop")
+	idle.sweep(&idle.newClients, time.Now().Add(newClientIdleTimeout), newClientIdleTimeout, 0)
+	select {
+	case reason := <-read:
+		require.Equal(t, transport.Stalled, reason)
+	case <-time.After(time.Second):
+		require.Fail(t, "the client is not looked at again")
+	}
+}
