--- a/internal/program/client_memory_test.go
+++ b/internal/program/client_memory_test.go
@@ -1,8 +1,12 @@
 package program_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,3 +80,72 @@
 	t.Logf("%d of %d served", served, clients*depth)
 	require.GreaterOrEqual(t, served, clients)
 }
+
+// Guards against a driver that goes over its memory because clients stop in the middle of a message and stay, and
+// against usual clients that are not served meanwhile.
+func TestUnfinishedMessagesAreBounded(t *testing.T) {
+	for _, size := range []struct{ memoryMB, sockets, perKind int }{{64, 512, 100}, {32, 1024, 200}} {
+		t.Run(fmt.Sprintf("%d MB, %d descriptors", size.memoryMB, size.sockets), func(t *testing.T) {
+			playUnfinishedMessages(t, size.memoryMB, size.sockets, size.perKind)
+		})
+	}
+}
+
+// playUnfinishedMessages plays perKind bad clients of each kind beside usual clients.
+func playUnfinishedMessages(t *testing.T, memoryMB, sockets, perKind int) {
+	startup := "\x00\x00\x00\x08\x00\x03\x00\x00"
+	half := message("Q", largeWrite(1900)+"\x00")[:120<<10]
+	kinds := map[string]string{
+		"half a query":                startup + half,
+		"half a query behind another": startup + message("Q", statement("write", 1900)+"\x00") + half,
+		"half a startup message":      "\x00\x00\x27\x00" + strings.Repeat("x", 9<<10),
+		"a huge value and no end":     startup + "Q\x03\x93\x87\x00" + strings.Repeat(megabyte(), 2),
+	}
+	primary := newFakeMember(t, "p", "leader")
+	driver := startProcess(t, newFakeDiscovery(t, primary), withLimits(memoryMB, sockets))
+	var bad sync.WaitGroup
+	defer bad.Wait()
+	var maxMemory, late atomic.Int64
+	startTime := time.Now()
+	for kind, text := range kinds {
+		for range perKind {
+			bad.Go(func() {
+				conn, err := net.Dial("tcp", driver.address)
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				go io.WriteString(conn, text)
+				connectedAt := time.Now()
+				conn.SetReadDeadline(connectedAt.Add(2 * waitTimeout))
+				io.Copy(io.Discard, conn)
+				if elapsed := time.Since(connectedAt); elapsed > 3*time.Second+answerSlack && !strings.Contains(kind, "behind") {
+					t.Logf("late: %s, %v", kind, elapsed)
+					late.Add(1)
+				}
+			})
+		}
+	}
+	served, refused := 0, 0
+	for time.Since(startTime) < 4*time.Second {
+		megabytes, _ := resourceUse(t, driver.pid)
+		maxMemory.Store(max(maxMemory.Load(), int64(megabytes)))
+		client := driver.connect(t)
+		require.Equal(t, "from p", client.ask(t, statement("write", 1000)), "a small query, %v after the others came", time.Since(startTime))
+		switch reply := client.ask(t, largeWrite(1000)); reply {
+		case "from p":
+			served++
+		case "53300":
+			refused++
+		default:
+			require.Fail(t, "no answer", reply)
+		}
+		client.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	bad.Wait()
+	t.Logf("%d MB at most; large queries of usual clients: %d served, %d refused; late: %d", maxMemory.Load(), served, refused, late.Load())
+	require.LessOrEqual(t, maxMemory.Load(), int64(memoryMB))
+	require.Zero(t, late.Load(), "each bad client is closed in time")
+	require.Greater(t, served, 20*refused, fmt.Sprintf("%d refused", refused))
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -42,7 +42,7 @@
 	lifetime, endLifetime := context.WithCancelCause(context.Background())
 	defer endLifetime(transport.ShutDown)
 	descriptors := transport.NewDescriptors(int(config.Sockets))
-	inputs := protocol.NewInputs(int(config.MemoryMB<<20) / inputMemoryDivisor)
+	inputs := protocol.NewInputs(config.inputBytes())
 	p := &Program{config: config, log: log, lifetime: lifetime, inputs: inputs,
 		idleClients: &idleClients{descriptors: descriptors, inputs: inputs}, cancels: newCancelRegistry(), descriptors: descriptors,
 		discovery: &discoverySource{address: config.Discovery, rng: rand.New(rand.NewSource(config.Seed))}}
@@ -63,7 +63,7 @@
 	if p.operatorServices != nil {
 		defer p.operatorServices.close()
 	}
-	listener, err := transport.Listen(config.Listen, p.descriptors, protocol.RingBytes)
+	listener, err := transport.Listen(config.Listen, p.descriptors, protocol.ClientRingBytes)
 	if err != nil {
 		return fmt.Errorf("GW_LISTEN: %w", err)
 	}
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -66,8 +66,6 @@
 	lingerTime         = 200 * time.Millisecond // until a client has read its last answer and closed its side
 	maxLingerBytes     = 1 << 20                // input discarded while lingering
 	clientWriteTimeout = 2 * time.Second        // for a client to accept an answer
-
-	inputMemoryDivisor = 4 // what clients have sent may take 1/4 of the memory limit
 )
 
 // serveQuery serves a query whose last byte arrived at receivedAt. It returns the RPC, or nil
--- a/internal/protocol/client_input.go
+++ b/internal/protocol/client_input.go
@@ -26,19 +26,20 @@
 	shared      *Inputs
 	isInstalled bool // only used by the session
 
-	mu        sync.Mutex
-	queue     []inputEntry
-	header    [headerBytes]byte
-	received  int    // bytes of the message being received, 0 for none
-	total     int    // its announced size, 0 until its header is complete
-	raw       []byte // its bytes, if it is kept
-	isRefused bool   // it is dropped
-	ended     bool
-	held      int  // bytes held in queue, raw and by the session
-	taken     int  // of held, by the session for the message that it processes
-	reserved  int  // of held, in shared
-	tookLast  bool // while draining, one more query was taken
-	dropped   int  // bytes dropped since the session was last waiting
+	mu          sync.Mutex
+	queue       []inputEntry
+	header      [headerBytes]byte
+	received    int    // bytes of the message being received, 0 for none
+	total       int    // its announced size, 0 until its header is complete
+	raw         []byte // its bytes, if it is kept
+	isRefused   bool   // it is dropped
+	ended       bool
+	held        int // bytes held in queue, raw and by the session
+	taken       int // of held, by the session for the message that it processes
+	reserved    int // of held, in shared
+	lastInputAt time.Time
+	tookLast    bool // while draining, one more query was taken
+	dropped     int  // bytes dropped since the session was last waiting
 }
 
 // inputEntry is what the session takes from the queue in one turn: a message, the refusal of queries, or the
@@ -66,6 +67,7 @@
 func (in *clientInput) HandleInput(input []byte, receivedAt time.Time) (peerGone bool, pause time.Duration) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.lastInputAt = receivedAt
 	for len(input) > 0 && !in.ended {
 		input = in.receiveHeader(input)
 		if in.total > 0 && in.header[0] == kindTerminate {
@@ -217,7 +219,7 @@
 
 // resize changes what this input holds and reports whether that was possible.
 func (in *clientInput) resize(held int) bool {
-	if !in.shared.resize(in, held) {
+	if !in.shared.resize(in, held, in.lastInputAt) {
 		return false
 	}
 	in.held = held
@@ -236,6 +238,18 @@
 	return dropPause
 }
 
+// isStalled reports whether the message being received holds memory and has not grown for long.
+func (in *clientInput) isStalled(now time.Time) bool {
+	return cap(in.raw) > 0 && now.Sub(in.lastInputAt) >= stalledMessageAge
+}
+
+// dropUnfinished refuses the message being received. The caller records what is held less.
+func (in *clientInput) dropUnfinished() {
+	in.isRefused = true
+	in.held -= cap(in.raw)
+	in.raw = nil
+}
+
 // take removes the next entry from the queue. The message taken before is no longer held.
 func (in *clientInput) take() (entry inputEntry, ok bool) {
 	in.mu.Lock()
--- a/internal/protocol/client_input_test.go
+++ b/internal/protocol/client_input_test.go
@@ -112,6 +112,41 @@
 	require.Equal(t, []string{transport.TooLong.String()}, takeAll(in), "what has no answer of its own can't be refused")
 }
 
+// Guards against messages that never end and keep the memory from those that do, and against taking it from a
+// client that only sends slowly.
+func TestStalledMessagesLoseTheirMemory(t *testing.T) {
+	shared := NewInputs(1 << 20)
+	start := time.Now()
+	var stalled []*clientInput
+	for i := range 20 {
+		in, feed := newInput(shared)
+		feed(largeQuery("half")[:60<<10], start.Add(time.Duration(i)*time.Millisecond))
+		if !in.isRefused {
+			stalled = append(stalled, in)
+		}
+	}
+	require.Greater(t, len(stalled), 3)
+	usual, feedUsual := newInput(shared)
+	feedUsual(largeQuery("early"), start.Add(stalledMessageAge/2))
+	require.Equal(t, []string{"refused"}, takeAll(usual), "the others may only be slow")
+	feedUsual(largeQuery("usual"), start.Add(2*stalledMessageAge))
+	require.Contains(t, takeAll(usual)[0], "usual")
+	require.True(t, stalled[0].isRefused, "the one that stood still for longest")
+	require.Nil(t, stalled[0].raw)
+	require.False(t, stalled[len(stalled)-1].isRefused, "only as many as needed")
+	for _, in := range stalled {
+		rest := largeQuery("half")[60<<10:]
+		in.HandleInput([]byte(rest), start.Add(3*stalledMessageAge))
+	}
+	require.Equal(t, []string{"refused"}, takeAll(stalled[0]), "in time for an answer")
+	require.Contains(t, takeAll(stalled[len(stalled)-1])[0], "half")
+	for _, in := range stalled {
+		in.release()
+	}
+	require.Equal(t, 1<<20, shared.Available())
+	require.Empty(t, shared.holders)
+}
+
 // Guards against a shutdown that never ends for a client which keeps sending, and against queries that are read
 // and then get no answer: those that began in time are kept, the later ones refused, what comes after the last
 // answer stays unread.
@@ -133,7 +168,7 @@
 	require.Equal(t, []string{"crossing\x00", "refused"}, takeAll(idle), "one that crosses the end of an idle connection is served")
 
 	local, remote := net.Pipe()
-	client := NewClient(transport.NewConn(t.Context(), local, RingBytes, func() {}), shared)
+	client := NewClient(transport.NewConn(t.Context(), local, ClientRingBytes, func() {}), shared)
 	replies := make(chan string, 1)
 	go func() {
 		io.WriteString(remote, query("one")+query("two")+query("three")+query("four")[:6])
--- a/internal/protocol/inputs.go
+++ b/internal/protocol/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Inputs is what the inputs of all client connections share: the memory that they may hold, and whether
@@ -11,7 +12,8 @@
 	draining atomic.Bool
 
 	mu        sync.Mutex
-	available int // bytes that may still be reserved
+	available int                       // bytes that may still be reserved
+	holders   map[*clientInput]struct{} // inputs that have reserved memory
 }
 
 const (
@@ -20,11 +22,13 @@
 	freeInputBytes = 4 << 10
 	// maxInputBytes limits what one connection holds.
 	maxInputBytes = 1 << 20
+	// stalledMessageAge is how long a message has to stand still before its memory may go to another.
+	stalledMessageAge = 100 * time.Millisecond
 )
 
 // NewInputs returns Inputs that hold at most limit bytes beyond what each connection may hold in any case.
 func NewInputs(limit int) *Inputs {
-	return &Inputs{available: limit}
+	return &Inputs{available: limit, holders: map[*clientInput]struct{}{}}
 }
 
 // Drain makes each connection process only the commands that have begun to arrive, and one more if there
@@ -40,8 +44,8 @@
 
 // resize changes what an input holds to size bytes and reports whether that was possible. An input gets at
 // most half of what is still available, so that one that holds much is refused before one that holds
-// little. in.mu must be held.
-func (s *Inputs) resize(in *clientInput, size int) bool {
+// little. For want of memory, messages of others that stand still lose theirs. in.mu must be held.
+func (s *Inputs) resize(in *clientInput, size int, now time.Time) bool {
 	reserved := max(0, size-freeInputBytes)
 	extra := reserved - in.reserved
 	if extra > 0 && size > maxInputBytes {
@@ -49,10 +53,49 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if extra > 0 && reserved > s.available/2 {
-		return false
+	for extra > 0 && reserved > s.available/2 {
+		if !s.reclaimStalled(in, now) {
+			return false
+		}
 	}
-	s.available -= extra
+	s.setReserved(in, reserved)
+	return true
+}
+
+// setReserved records what an input has reserved. s.mu and in.mu must be held.
+func (s *Inputs) setReserved(in *clientInput, reserved int) {
+	s.available -= reserved - in.reserved
 	in.reserved = reserved
+	if reserved > 0 {
+		s.holders[in] = struct{}{}
+	} else {
+		delete(s.holders, in)
+	}
+}
+
+// reclaimStalled drops the unfinished message that has stood still for longest and reports whether there was
+// one. An input that is being used at this moment is passed over: waiting for it here could be a deadlock.
+// s.mu must be held.
+func (s *Inputs) reclaimStalled(except *clientInput, now time.Time) bool {
+	var victim *clientInput
+	for in := range s.holders {
+		if in == except || !in.mu.TryLock() {
+			continue
+		}
+		if !in.isStalled(now) || victim != nil && !in.lastInputAt.Before(victim.lastInputAt) {
+			in.mu.Unlock()
+			continue
+		}
+		if victim != nil {
+			victim.mu.Unlock()
+		}
+		victim = in
+	}
+	if victim == nil {
+		return false
+	}
+	defer victim.mu.Unlock()
+	victim.dropUnfinished()
+	s.setReserved(victim, max(0, victim.held-freeInputBytes))
 	return true
 }
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -14,6 +14,9 @@
 const (
 	// RingBytes limits a connection's buffers. Longer messages pass through them in pieces.
 	RingBytes = 64 << 10
+	// ClientRingBytes limits the buffers of a client's connection, of which there are many. It suffices for a
+	// startup message.
+	ClientRingBytes = 16 << 10
 	// maxStatementBytes limits a client's message. A value of 64 KiB takes 128 KiB of hexadecimal digits.
 	maxStatementBytes = 192 << 10
 	readChunkBytes    = RingBytes / 2
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -32,6 +32,7 @@
 	stopAnyway    bool         // a requested stop is not cancelled by input
 	readStopped   bool         // readLoop is paused by a stop or by Interrupt
 	discardLimit  int          // bytes of input that Linger still discards
+	isLingering   bool
 	readTimeout   time.Duration
 	readTimer     *time.Timer // closes the connection after readTimeout without input
 	closeReason   CloseReason
@@ -203,12 +204,18 @@
 	}
 }
 
-// readSpace returns the free space for the next read. The caller holds c.mu.
+// readSpace returns the free space for the next read, none if the connection is not to be read now. The
+// caller holds c.mu.
 func (c *Conn) readSpace() []byte {
 	c.readBuffer.reset()
-	if c.inputHandler != nil {
+	switch {
+	case c.isLingering && c.discardLimit == 0: // what comes now is not wanted
+		return nil
+	case c.isLingering:
+		c.readBuffer.grow(maxHandledBytes)
+	case c.inputHandler != nil:
 		c.readBuffer.grow(c.nextReadBytes)
-	} else {
+	default:
 		c.readBuffer.grow(max(1, c.wantedBytes-c.readBuffer.Len()))
 	}
 	return c.readBuffer.free()
@@ -422,7 +429,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.inputHandler, c.discardLimit = nil, discardLimit
+	c.inputHandler, c.isLingering, c.discardLimit = nil, true, discardLimit
 	c.stopReason, c.readStopped = Open, false
 	c.netConn.SetReadDeadline(time.Time{})
 	c.changed.Broadcast()
