A client that was served a moment ago is not closed because too many are idle

Cause: at most a sixth of the descriptors may be held by idle clients, and as one more becomes idle the longest idle one is closed at once. Clients whose next message is being received stand in the same list and can't be closed, so the one that was served last went instead.

Change: where too many are idle, one goes only after 20 ms. The bound is exceeded by what is served in that time.

Measured: TestJustServedClientIsNotEvicted fails before, passes 10 of 10.

--- a/internal/program/idle_clients.go
+++ b/internal/program/idle_clients.go
@@ -17,6 +17,7 @@
 	servedClientMinIdle     = 2 * time.Second        // before it may be evicted without force
 	partialMessageTimeout   = time.Second            // to complete a partly received message
 	newClientMinIdle        = 100 * time.Millisecond // before a client without an RPC may be evicted
+	crowdMinIdle            = 20 * time.Millisecond  // before any other may be evicted where too many are idle; it may be about to send
 	sweepInterval           = 100 * time.Millisecond
 	stopRetryInterval       = 50 * time.Millisecond // until a connection that should have stopped is asked again
 	idleClientsDivisor      = 6                     // each list holds at most 1/6 of the descriptors
@@ -74,7 +75,11 @@
 	}
 	element := clients.PushBack(&idleClient{conn: client, cell: cell, idleSince: time.Now()})
 	if clients.Len() > i.descriptors.Limit()/idleClientsDivisor {
-		i.evictOne(clients, newClientMinIdle, isServed)
+		minIdle := newClientMinIdle
+		if isServed {
+			minIdle = crowdMinIdle
+		}
+		i.evictOne(clients, minIdle, false)
 	}
 	return func() {
 		i.mu.Lock()
--- a/internal/program/idle_clients_test.go
+++ b/internal/program/idle_clients_test.go
@@ -116,3 +116,40 @@
 		require.Fail(t, "the client is not looked at again")
 	}
 }
+
+// Guards against usual clients that are closed as soon as they have their answer, and so lose time with each
+// request, because many others are in the middle of a message and can't be closed.
+func TestJustServedClientIsNotEvicted(t *testing.T) {
+	descriptors, inputs := transport.NewDescriptors(64), protocol.NewInputs(1<<20)
+	idle := &idleClients{descriptors: descriptors, inputs: inputs}
+	add := func(input string) protocol.Client {
+		local, remote := net.Pipe()
+		client := protocol.NewClient(transport.NewConn(t.Context(), local, protocol.ClientRingBytes, func() {}), inputs)
+		t.Cleanup(func() { client.Close(transport.ShutDown) })
+		if input != "" {
+			io.WriteString(remote, input)
+			require.Equal(t, transport.Open, client.Await(len(input)))
+		}
+		idle.add(client, true, cells.NoCell)
+		return client
+	}
+	ends := func(client protocol.Client) bool {
+		read := make(chan transport.CloseReason, 1)
+		go func() { read <- client.Await(1) }()
+		select {
+		case <-read:
+			return true
+		case <-time.After(crowdMinIdle / 2):
+			return false
+		}
+	}
+	for range descriptors.Limit() / idleClientsDivisor {
+		add("Q\x00\x00\x01\x00half")
+	}
+	served := add("")
+	require.False(t, ends(served), "it may be about to send its next request")
+	time.Sleep(crowdMinIdle)
+	other := add("")
+	require.True(t, ends(served), "too many are idle, and it is for longest")
+	require.False(t, ends(other))
+}
