A query waits for memory for 0.3 s, left in the socket, before it is refused

Change: a query for which there is no memory waits in its turn, if nothing else of its client is held: then none of its requests can be out when it leaves, and reading may pause. First come, first served; the first also looks for messages that stand still. After 0.3 s it is refused. Input that lay in the socket counts as arrived when reading paused, until a read shows that the sender held nothing back, so that no member is told more time than the client has left. A message takes its memory in two steps, 4 KiB and the whole, so that of those that wait none holds what another needs. Its entry in the queue is counted from the start; counted at the end it could be refused when it was complete.

Tests: TestQueriesWaitForMemory, TestArrivalTimesAroundAPause.

--- a/internal/program/client_memory_test.go
+++ b/internal/program/client_memory_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// resendingClient is a usual client. A driver may close a connection between requests, and new ones unread where
+// clients crowd; if that crosses a request, the client resends it once on a new connection.
+type resendingClient struct {
+	driver *testDriver
+	conn   *pgConn
+}
+
+// ask sends a query and returns its reply, as pgConn.ask does.
+func (c *resendingClient) ask(t *testing.T, query string) (reply string) {
+	for range 2 {
+		if c.conn == nil {
+			c.conn = c.driver.dial(t)
+		}
+		if reply = c.conn.ask(t, query); reply != "end" {
+			return reply
+		}
+		c.conn.Close()
+		c.conn = nil
+	}
+	return reply
+}
+
 // playUnfinishedMessages plays perKind bad clients of each kind beside usual clients.
 func playUnfinishedMessages(t *testing.T, memoryMB, sockets, perKind int) {
 	startup := "\x00\x00\x00\x08\x00\x03\x00\x00"
@@ -130,7 +152,7 @@
 	for time.Since(startTime) < 4*time.Second {
 		megabytes, _ := resourceUse(t, driver.pid)
 		maxMemory.Store(max(maxMemory.Load(), int64(megabytes)))
-		client := driver.connect(t)
+		client := &resendingClient{driver: driver.testDriver}
 		require.Equal(t, "from p", client.ask(t, statement("write", 1000)), "a small query, %v after the others came", time.Since(startTime))
 		switch reply := client.ask(t, largeWrite(1000)); reply {
 		case "from p":
@@ -140,7 +162,7 @@
 		default:
 			require.Fail(t, "no answer", reply)
 		}
-		client.Close()
+		client.conn.Close()
 		time.Sleep(5 * time.Millisecond)
 	}
 	bad.Wait()
--- a/internal/program/fakes_test.go
+++ b/internal/program/fakes_test.go
@@ -386,6 +386,26 @@
 
 // connect returns a client connection on which the start-up is complete.
 func (d *testDriver) connect(t *testing.T) *pgConn {
+	conn := d.open(t)
+	io.WriteString(conn, "\x00\x00\x00\x08\x04\xd2\x16\x2f") // SSLRequest
+	declined, err := conn.reader.ReadByte()
+	require.NoError(t, err)
+	require.Equal(t, byte('N'), declined)
+	io.WriteString(conn, "\x00\x00\x00\x08\x00\x03\x00\x00")
+	conn.readReply(t)
+	return conn
+}
+
+// dial returns a client connection on which the start-up is complete, or has ended.
+func (d *testDriver) dial(t *testing.T) *pgConn {
+	conn := d.open(t)
+	io.WriteString(conn, "\x00\x00\x00\x08\x00\x03\x00\x00")
+	conn.readReply(t)
+	return conn
+}
+
+// open returns a client connection on which nothing was sent.
+func (d *testDriver) open(t *testing.T) *pgConn {
 	var c net.Conn
 	eventually(t, "the driver listens", func() (ok bool) {
 		var err error
@@ -394,14 +414,7 @@
 	})
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(2 * waitTimeout))
-	conn := newPGConn(c)
-	io.WriteString(conn, "\x00\x00\x00\x08\x04\xd2\x16\x2f") // SSLRequest
-	declined, err := conn.reader.ReadByte()
-	require.NoError(t, err)
-	require.Equal(t, byte('N'), declined)
-	io.WriteString(conn, "\x00\x00\x00\x08\x00\x03\x00\x00")
-	conn.readReply(t)
-	return conn
+	return newPGConn(c)
 }
 
 // ask sends a query and returns the value in its answer, "empty", or the SQLSTATE of an error.
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -165,6 +165,7 @@
 	if !c.input.isInstalled {
 		c.input.isInstalled = true
 		c.SetInputHandler(c.input)
+		c.input.allowWaiting()
 	}
 	for {
 		if entry, ok := c.input.take(); ok {
--- a/internal/protocol/client_input.go
+++ b/internal/protocol/client_input.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"container/list"
 	"encoding/binary"
 	"sync"
 	"time"
@@ -15,11 +16,13 @@
 //
 // A query that may not be held is refused: its bytes are dropped, and in its turn the client is told that
 // trying again is harmless. That happens for want of memory, see Inputs, and while this process drains to
-// queries that began too late.
+// queries that began too late. If nothing else of the client is held, so that none of its requests can be out
+// when it leaves, a query waits for memory for a while before it is refused.
 //
 //	the message being received   on its next bytes
 //	none                         its header is collected
-//	kept                         they are appended; for want of memory it becomes refused
+//	kept                         they are appended; for want of memory it waits or becomes refused
+//	waiting                      they are not taken; after maxMemoryWait it becomes refused
 //	refused                      they are dropped
 //	input ended                  dropped: an earlier message could not be followed
 type clientInput struct {
@@ -40,6 +43,11 @@
 	lastInputAt time.Time
 	tookLast    bool // while draining, one more query was taken
 	dropped     int  // bytes dropped since the session was last waiting
+
+	mayWait      bool          // after the handshake
+	waitingSince time.Time     // for memory; zero if it does not wait
+	place        *list.Element // among those that wait, nil if it does not; with resume, guarded by shared.mu
+	resume       chan struct{}
 }
 
 // inputEntry is what the session takes from the queue in one turn: a message, the refusal of queries, or the
@@ -53,8 +61,7 @@
 const (
 	inputEntryBytes = 128 // memory of an entry besides its message
 
-	firstMessageBytes  = 4 << 10  // memory for a message whose header has arrived
-	secondMessageBytes = 32 << 10 // memory once that is full; the whole message comes next
+	firstMessageBytes = 4 << 10 // memory for a message whose header has arrived; when that is full comes the rest
 
 	// A client that sends more than it may is read slowly once it has sent more than usual clients have
 	// under way, so that it does not take the processor from others.
@@ -64,23 +71,34 @@
 )
 
 // HandleInput implements transport.InputHandler.
-func (in *clientInput) HandleInput(input []byte, receivedAt time.Time) (peerGone bool, pause time.Duration) {
+func (in *clientInput) HandleInput(input []byte, receivedAt, now time.Time) transport.InputResult {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.lastInputAt = receivedAt
-	for len(input) > 0 && !in.ended {
-		input = in.receiveHeader(input)
+	in.lastInputAt = now
+	rest := input
+	for len(rest) > 0 && !in.ended {
+		rest = in.receiveHeader(rest)
 		if in.total > 0 && in.header[0] == kindTerminate {
 			in.ended, in.received, in.total = true, 0, 0
-			return true, 0
+			return transport.InputResult{PeerGone: true}
+		}
+		if pause, resume := in.makeRoom(len(rest)); pause > 0 {
+			return transport.InputResult{Taken: len(input) - len(rest), Pause: pause, Resume: resume}
 		}
-		input = in.receiveBody(input)
+		rest = in.receiveBody(rest)
 		if in.total > 0 && in.received == in.total {
 			in.completeMessage(receivedAt)
 		}
 	}
-	in.drop(len(input))
-	return false, in.pause()
+	in.drop(len(rest))
+	return transport.InputResult{Taken: len(input), Pause: in.pause()}
+}
+
+// allowWaiting lets queries wait for memory. It is called once what was buffered has been handed over.
+func (in *clientInput) allowWaiting() {
+	in.mu.Lock()
+	in.mayWait = true
+	in.mu.Unlock()
 }
 
 // HasInput implements transport.InputHandler.
@@ -114,8 +132,10 @@
 		return
 	}
 	in.total = int(length) + 1
-	in.isRefused = in.header[0] == kindQuery && !in.mayBegin()
-	in.keep(in.header[:])
+	in.isRefused = in.header[0] == kindQuery && !in.mayBegin() || !in.growMessage()
+	if !in.isRefused {
+		in.raw = append(in.raw, in.header[:]...)
+	}
 }
 
 // mayBegin reports whether a query that begins now may be taken. While draining that is one, if none is
@@ -129,6 +149,38 @@
 	return mayBegin
 }
 
+// makeRoom reserves memory for the next n bytes of input. If there is none, the message waits as returned, or
+// becomes refused.
+func (in *clientInput) makeRoom(n int) (pause time.Duration, resume <-chan struct{}) {
+	size := min(in.total, in.received+n)
+	if in.isRefused || size <= cap(in.raw) {
+		return 0, nil
+	}
+	canWait := in.mayWait && in.header[0] == kindQuery && in.taken == 0 && len(in.queue) == 0
+	if canWait && in.shared.isPreceded(in) || !in.growMessage() {
+		if canWait {
+			if in.waitingSince.IsZero() {
+				in.waitingSince = in.lastInputAt
+			}
+			pause, resume = in.shared.wait(in, in.waitingSince, in.lastInputAt)
+		}
+		if pause > 0 {
+			return pause, resume
+		}
+		in.refuseMessage()
+	}
+	in.endWait()
+	return 0, nil
+}
+
+// endWait is called when the message that waited for memory has got it or is refused.
+func (in *clientInput) endWait() {
+	in.waitingSince = time.Time{}
+	if in.place != nil {
+		in.shared.endWait(in)
+	}
+}
+
 // receiveBody takes what input has of the message's body and returns the rest.
 func (in *clientInput) receiveBody(input []byte) (rest []byte) {
 	n := min(len(input), in.total-in.received)
@@ -136,33 +188,22 @@
 		return input
 	}
 	in.received += n
-	in.keep(input[:n])
-	return input[n:]
-}
-
-// keep appends part to the message, or drops it if the message is refused.
-func (in *clientInput) keep(part []byte) {
-	if !in.isRefused && len(in.raw)+len(part) > cap(in.raw) && !in.growMessage(len(in.raw)+len(part)) {
-		in.refuseMessage()
-	}
 	if in.isRefused {
-		in.drop(len(part))
-		return
+		in.drop(n)
+	} else {
+		in.raw = append(in.raw, input[:n]...)
 	}
-	in.raw = append(in.raw, part...)
+	return input[n:]
 }
 
-// growMessage makes room for at least size bytes of the message. Memory is reserved as it arrives, so that an
-// announced length alone costs none.
-func (in *clientInput) growMessage(size int) bool {
-	capacity := min(in.total, firstMessageBytes)
-	if size > capacity {
-		capacity = min(in.total, secondMessageBytes)
+// growMessage makes room for the whole message, or for its first bytes if there is none yet, so that an
+// announced length alone costs little.
+func (in *clientInput) growMessage() bool {
+	capacity := in.total
+	if in.raw == nil {
+		capacity = min(in.total, firstMessageBytes)
 	}
-	if size > capacity {
-		capacity = in.total
-	}
-	if !in.resize(in.held + capacity - cap(in.raw)) {
+	if !in.resize(in.held - in.messageBytes() + capacity + inputEntryBytes) {
 		return false
 	}
 	in.raw = append(make([]byte, 0, capacity), in.raw...)
@@ -178,11 +219,7 @@
 
 // completeMessage adds the message, or its refusal, to the queue.
 func (in *clientInput) completeMessage(receivedAt time.Time) {
-	if !in.isRefused && !in.resize(in.held+inputEntryBytes) {
-		in.refuseMessage()
-	}
 	switch {
-	case in.ended:
 	case in.isRefused && in.header[0] != kindQuery: // only queries can be refused
 		in.endWith(transport.TooLong)
 	case in.isRefused:
@@ -213,10 +250,18 @@
 
 // releaseMessage gives back the memory of the message being received.
 func (in *clientInput) releaseMessage() {
-	in.resize(in.held - cap(in.raw))
+	in.resize(in.held - in.messageBytes())
 	in.raw = nil
 }
 
+// messageBytes returns the memory of the message being received, with that of its entry.
+func (in *clientInput) messageBytes() int {
+	if in.raw == nil {
+		return 0
+	}
+	return cap(in.raw) + inputEntryBytes
+}
+
 // resize changes what this input holds and reports whether that was possible.
 func (in *clientInput) resize(held int) bool {
 	if !in.shared.resize(in, held, in.lastInputAt) {
@@ -246,7 +291,7 @@
 // dropUnfinished refuses the message being received. The caller records what is held less.
 func (in *clientInput) dropUnfinished() {
 	in.isRefused = true
-	in.held -= cap(in.raw)
+	in.held -= in.messageBytes()
 	in.raw = nil
 }
 
@@ -313,4 +358,5 @@
 	defer in.mu.Unlock()
 	in.queue, in.raw, in.taken, in.ended = nil, nil, 0, true
 	in.resize(0)
+	in.endWait()
 }
--- a/internal/protocol/client_input_test.go
+++ b/internal/protocol/client_input_test.go
@@ -15,7 +15,7 @@
 // newInput returns an input that shares a budget, and a function that feeds it.
 func newInput(shared *Inputs) (*clientInput, func(text string, at time.Time)) {
 	in := &clientInput{shared: shared}
-	return in, func(text string, at time.Time) { in.HandleInput([]byte(text), at) }
+	return in, func(text string, at time.Time) { in.HandleInput([]byte(text), at, at) }
 }
 
 // takeAll returns what a session takes: bodies of messages, "refused" for each refusal, and the end.
@@ -136,7 +136,8 @@
 	require.False(t, stalled[len(stalled)-1].isRefused, "only as many as needed")
 	for _, in := range stalled {
 		rest := largeQuery("half")[60<<10:]
-		in.HandleInput([]byte(rest), start.Add(3*stalledMessageAge))
+		at := start.Add(3 * stalledMessageAge)
+		in.HandleInput([]byte(rest), at, at)
 	}
 	require.Equal(t, []string{"refused"}, takeAll(stalled[0]), "in time for an answer")
 	require.Contains(t, takeAll(stalled[len(stalled)-1])[0], "half")
@@ -147,6 +148,58 @@
 	require.Empty(t, shared.holders)
 }
 
+// Guards against queries that are refused although there is memory for them a moment later, against an order in
+// which one waits without end, and against waits that outlast a client's time.
+func TestQueriesWaitForMemory(t *testing.T) {
+	shared := NewInputs(250 << 10)
+	holder, feedHolder := newInput(shared)
+	feedHolder(largeQuery("holder"), time.Now())
+	start := time.Now()
+	var inputs []*clientInput
+	var rests [][]byte // of each client's query
+	var results []transport.InputResult
+	handOver := func(n, at int) transport.InputResult {
+		now := start.Add(time.Duration(at) * time.Millisecond)
+		result := inputs[n].HandleInput(rests[n], now, now)
+		rests[n] = rests[n][result.Taken:]
+		return result
+	}
+	for n := range 3 {
+		in, _ := newInput(shared)
+		in.allowWaiting()
+		inputs, rests = append(inputs, in), append(rests, []byte(largeQuery("waiting")))
+		results = append(results, handOver(n, n))
+		require.NotEmpty(t, rests[n])
+		require.Positive(t, results[n].Pause)
+	}
+	require.Equal(t, reclaimInterval, results[0].Pause, "the first looks for messages that stand still")
+	require.Equal(t, maxMemoryWait, results[1].Pause)
+	holder.take()
+	holder.take()
+	require.Len(t, results[0].Resume, 1, "the first is told that memory was given back")
+	require.Empty(t, results[1].Resume)
+	require.Positive(t, handOver(1, 50).Pause, "the second does not overtake it")
+	handOver(0, 50)
+	require.Empty(t, rests[0])
+	require.Len(t, results[1].Resume, 1, "the second is the first now")
+	require.Positive(t, handOver(1, 60).Pause)
+	handOver(1, 310)
+	require.Empty(t, rests[1], "refused after waiting for long")
+	require.Equal(t, []string{"refused"}, takeAll(inputs[1]))
+	inputs[2].release()
+	require.Zero(t, shared.waiting.Len(), "a connection that closes waits no longer")
+	require.Contains(t, takeAll(inputs[0])[0], "waiting")
+	require.Equal(t, 250<<10, shared.Available())
+
+	feedHolder(largeQuery("holder"), time.Now())
+	running, feed := newInput(shared)
+	running.allowWaiting()
+	feed(encodeMessage(kindQuery, "running\x00"), start)
+	running.take()
+	feed(largeQuery("behind"), start)
+	require.Equal(t, []string{"refused"}, takeAll(running), "the end of a client with a request out has to be noticed")
+}
+
 // Guards against a shutdown that never ends for a client which keeps sending, and against queries that are read
 // and then get no answer: those that began in time are kept, the later ones refused, what comes after the last
 // answer stays unread.
@@ -194,12 +247,12 @@
 	in, _ := newInput(NewInputs(0))
 	pauses, sent := time.Duration(0), 0
 	for part := []byte(largeQuery("")); sent < 64<<20; sent += len(part) {
-		_, pause := in.HandleInput(part, time.Now())
-		pauses += pause
-		require.True(t, pause == 0 || sent > unpacedDropBytes)
+		result := in.HandleInput(part, time.Now(), time.Now())
+		pauses += result.Pause
+		require.True(t, result.Pause == 0 || sent > unpacedDropBytes)
 	}
 	require.Greater(t, pauses, time.Second)
 	takeAll(in)
-	_, pause := in.HandleInput([]byte(largeQuery("")), time.Now())
-	require.Zero(t, pause, "the session waits for input")
+	result := in.HandleInput([]byte(largeQuery("")), time.Now(), time.Now())
+	require.Zero(t, result.Pause, "the session waits for input")
 }
--- a/internal/protocol/inputs.go
+++ b/internal/protocol/inputs.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"container/list"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	mu        sync.Mutex
 	available int                       // bytes that may still be reserved
 	holders   map[*clientInput]struct{} // inputs that have reserved memory
+	waiting   list.List                 // of *clientInput, for memory, first come first served
 }
 
 const (
@@ -24,6 +26,11 @@
 	maxInputBytes = 1 << 20
 	// stalledMessageAge is how long a message has to stand still before its memory may go to another.
 	stalledMessageAge = 100 * time.Millisecond
+	// maxMemoryWait is how long a query waits for memory, with its rest left in the socket, before it is
+	// refused. Its client can still ask elsewhere then.
+	maxMemoryWait = 300 * time.Millisecond
+	// reclaimInterval is how often the first that waits looks for messages that stand still.
+	reclaimInterval = 10 * time.Millisecond
 )
 
 // NewInputs returns Inputs that hold at most limit bytes beyond what each connection may hold in any case.
@@ -59,9 +66,56 @@
 		}
 	}
 	s.setReserved(in, reserved)
+	if extra < 0 {
+		s.wakeFirst()
+	}
 	return true
 }
 
+// wait lets an input wait for memory in its turn. It returns for how long at the most, and what ends the
+// wait; 0 if the input has waited since since for too long. in.mu must be held.
+func (s *Inputs) wait(in *clientInput, since, now time.Time) (pause time.Duration, resume <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pause = maxMemoryWait - now.Sub(since); pause <= 0 {
+		return 0, nil
+	}
+	if in.place == nil {
+		in.place = s.waiting.PushBack(in)
+		in.resume = make(chan struct{}, 1)
+	}
+	if s.waiting.Front() == in.place {
+		pause = min(pause, reclaimInterval)
+	}
+	return pause, in.resume
+}
+
+// endWait takes an input out of those that wait. in.mu must be held.
+func (s *Inputs) endWait(in *clientInput) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting.Remove(in.place)
+	in.place = nil
+	s.wakeFirst()
+}
+
+// isPreceded reports whether others wait for memory that came before an input. in.mu must be held.
+func (s *Inputs) isPreceded(in *clientInput) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting.Len() > 0 && s.waiting.Front() != in.place
+}
+
+// wakeFirst lets the first input that waits try again. s.mu must be held.
+func (s *Inputs) wakeFirst() {
+	if first := s.waiting.Front(); first != nil {
+		select {
+		case first.Value.(*clientInput).resume <- struct{}{}:
+		default: // it was told before
+		}
+	}
+}
+
 // setReserved records what an input has reserved. s.mu and in.mu must be held.
 func (s *Inputs) setReserved(in *clientInput, reserved int) {
 	s.available -= reserved - in.reserved
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -27,6 +27,7 @@
 	arrivals      arrivals     // of the bytes in readBuffer
 	wantedBytes   int          // bytes that Await is waiting for
 	nextReadBytes int          // size of the next read for inputHandler
+	unread        unreadInput  // used by readLoop alone
 	inputHandler  InputHandler // takes the contents of readBuffer after each read; nil for none
 	stopReason    CloseReason  // what Await returns once reading has stopped
 	stopAnyway    bool         // a requested stop is not cancelled by input
@@ -42,16 +43,6 @@
 	writeTimeout time.Duration
 }
 
-// InputHandler takes a connection's input as it arrives, so that the connection reads at all times and
-// notices at once when its peer closes. It is called with the connection locked and must not call it.
-type InputHandler interface {
-	// HandleInput takes all of input, which was received at receivedAt. peerGone reports that the peer
-	// announced its end, pause how long to wait before more is read.
-	HandleInput(input []byte, receivedAt time.Time) (peerGone bool, pause time.Duration)
-	// HasInput reports whether input is held that was not taken out yet, also part of a message.
-	HasInput() bool
-}
-
 // NewConn wraps netConn with buffers of up to bufferLimit bytes per direction and starts reading. The
 // connection closes when ctx ends; release is called once after it has closed.
 func NewConn(ctx context.Context, netConn net.Conn, bufferLimit int, release func()) *Conn {
@@ -106,13 +97,8 @@
 			return
 		}
 		n, err := c.netConn.Read(space)
-		receivedAt := time.Now()
+		peerGone := n > 0 && c.takeRead(n, time.Now())
 		c.mu.Lock()
-		peerGone, pause := false, time.Duration(0)
-		if n > 0 {
-			c.recordRead(n, receivedAt)
-			peerGone, pause = c.handleInput(receivedAt)
-		}
 		stopped := c.confirmStop(err)
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -127,29 +113,17 @@
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			c.Close(readFailureReason(err))
 			return
-		case pause > 0:
-			time.Sleep(pause)
 		}
 	}
 }
 
-// handleInput hands the contents of readBuffer to inputHandler, if there is one. The caller holds c.mu.
-func (c *Conn) handleInput(receivedAt time.Time) (peerGone bool, pause time.Duration) {
-	if c.inputHandler == nil {
-		return false, 0
-	}
-	for c.readBuffer.Len() > 0 {
-		part := c.readBuffer.front()
-		gone, wait := c.inputHandler.HandleInput(part, receivedAt)
-		peerGone, pause = peerGone || gone, max(pause, wait)
-		c.consume(len(part))
-	}
-	return peerGone, pause
-}
-
-// recordRead accounts for n bytes read into readBuffer. The caller holds c.mu.
-func (c *Conn) recordRead(n int, receivedAt time.Time) {
-	if c.nextReadBytes = initialRingBytes; n == len(c.readBuffer.free()) { // more may wait in the socket
+// takeRead accounts for n bytes read into readBuffer and hands them to the InputHandler, if there is one. It
+// reports whether the peer announced its end.
+func (c *Conn) takeRead(n int, now time.Time) (peerGone bool) {
+	c.mu.Lock()
+	isDrained := n < len(c.readBuffer.free())
+	receivedAt := c.unread.arrivalTime(now, isDrained)
+	if c.nextReadBytes = initialRingBytes; !isDrained { // more may wait in the socket
 		c.nextReadBytes = min(2*n, maxHandledBytes)
 	}
 	c.readBuffer.used += n
@@ -157,34 +131,9 @@
 	if c.readTimeout > 0 {
 		c.readTimer.Reset(c.readTimeout)
 	}
-}
-
-// confirmStop completes or cancels a requested stop after a read. Input that arrived before the read was
-// interrupted cancels it, also input still in the socket, unless stopAnyway is set. It reports whether
-// reading has stopped. The caller holds c.mu.
-func (c *Conn) confirmStop(err error) bool {
-	if c.stopReason == Open || c.readStopped {
-		return c.readStopped
-	}
-	interrupted := errors.Is(err, os.ErrDeadlineExceeded)
-	if !c.stopAnyway && (c.hasInput() || interrupted && !c.socketInputEmpty()) {
-		c.stopReason = Open
-		c.netConn.SetReadDeadline(time.Time{})
-		return false
-	}
-	c.readStopped = interrupted
-	return c.readStopped
-}
-
-// waitForResume waits until a stopped connection is to be read again. It returns false if the
-// connection closed instead.
-func (c *Conn) waitForResume() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for c.readStopped && c.closeReason == Open {
-		c.changed.Wait()
-	}
-	return c.closeReason == Open
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.handleInput(receivedAt)
 }
 
 // nextReadSpace waits for free space in readBuffer and returns nil once the connection is closed. Only
@@ -221,10 +170,6 @@
 	return c.readBuffer.free()
 }
 
-// maxHandledBytes limits a read for an InputHandler, so that many connections that receive large messages
-// cost little memory beside those messages.
-const maxHandledBytes = 4 << 10
-
 // discardUnwanted drops buffered input up to discardLimit. The caller holds c.mu.
 func (c *Conn) discardUnwanted() {
 	n := min(c.readBuffer.Len(), c.discardLimit)
@@ -256,44 +201,6 @@
 	return Open
 }
 
-// SetInputHandler hands all input to handler from now on, beginning with what is buffered.
-func (c *Conn) SetInputHandler(handler InputHandler) {
-	c.mu.Lock()
-	c.inputHandler = handler
-	peerGone := false
-	for c.readBuffer.Len() > 0 {
-		first := c.arrivals[0]
-		part := c.readBuffer.front()
-		part = part[:min(int64(len(part)), first.endOffset-c.consumedBytes)]
-		gone, _ := handler.HandleInput(part, first.receivedAt)
-		peerGone = peerGone || gone
-		c.consume(len(part))
-	}
-	c.changed.Broadcast()
-	c.mu.Unlock()
-	if peerGone {
-		c.Close(ClosedByPeer)
-	}
-}
-
-// AwaitInput waits until the InputHandler has what isReady looks for and returns Open. If reading has
-// stopped or the connection has closed without it, it returns why. isReady is called with the connection
-// locked.
-func (c *Conn) AwaitInput(isReady func() bool) CloseReason {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !isReady() {
-		switch {
-		case c.readStopped:
-			return c.stopReason
-		case c.closeReason != Open:
-			return c.closeReason
-		}
-		c.changed.Wait()
-	}
-	return Open
-}
-
 // Peek copies the next len(dst) bytes without consuming them. They must have been awaited.
 func (c *Conn) Peek(dst []byte) {
 	c.mu.Lock()
@@ -361,52 +268,6 @@
 	return err == nil && empty
 }
 
-// hasInput reports whether input is buffered or held by inputHandler. The caller holds c.mu.
-func (c *Conn) hasInput() bool {
-	return c.readBuffer.Len() > 0 || c.inputHandler != nil && c.inputHandler.HasInput()
-}
-
-// StopIfIdle stops reading from an idle connection, so that Await returns reason, and reports whether
-// it was idle. Input that arrived before the stop cancels it, also if still in the socket; later input
-// stays unread, so that closing resets the connection, which tells the peer that it was not processed.
-func (c *Conn) StopIfIdle(reason CloseReason) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.closeReason == Open && !c.hasInput() && c.discardLimit == 0
-	if idle {
-		c.requestStop(reason, false)
-	}
-	return idle
-}
-
-// StopReading stops reading whatever has arrived, and returns once no more input is taken. What the
-// InputHandler holds by then can still be taken out; later input stays unread.
-func (c *Conn) StopReading(reason CloseReason) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requestStop(reason, true)
-	for !c.readStopped && c.closeReason == Open {
-		c.changed.Wait()
-	}
-}
-
-// requestStop interrupts a pending read, after which readLoop confirms the stop. The caller holds c.mu.
-func (c *Conn) requestStop(reason CloseReason, anyway bool) {
-	c.stopReason, c.stopAnyway = reason, anyway
-	c.netConn.SetReadDeadline(time.Unix(1, 0)) // in the past
-}
-
-// Interrupt stops reading, also within a message, so that Await returns reason.
-func (c *Conn) Interrupt(reason CloseReason) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closeReason == Open {
-		c.stopReason, c.readStopped = reason, true
-		c.netConn.SetReadDeadline(time.Unix(1, 0)) // in the past, to interrupt a pending read
-		c.changed.Broadcast()
-	}
-}
-
 // SetReadTimeout closes the connection as Stalled once the peer has sent nothing for timeout, starting
 // now. 0 disables the timeout.
 func (c *Conn) SetReadTimeout(timeout time.Duration) {
@@ -420,28 +281,6 @@
 	}
 }
 
-// Linger closes the sending side and waits up to timeout for the peer to close its own. It discards up
-// to discardLimit bytes of input, because closing with unread input sends a reset, which may destroy
-// data that the peer has not read yet.
-func (c *Conn) Linger(timeout time.Duration, discardLimit int) {
-	halfCloser, ok := c.netConn.(interface{ CloseWrite() error })
-	if !ok || halfCloser.CloseWrite() != nil {
-		return
-	}
-	c.mu.Lock()
-	c.inputHandler, c.isLingering, c.discardLimit = nil, true, discardLimit
-	c.stopReason, c.readStopped = Open, false
-	c.netConn.SetReadDeadline(time.Time{})
-	c.changed.Broadcast()
-	c.mu.Unlock()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-c.ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Write appends text to writeBuffer and flushes whenever that is full. Errors are reported by Flush.
 func (c *Conn) Write(text string) {
 	for {
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -287,14 +287,27 @@
 	mu      sync.Mutex
 	input   string
 	arrived []time.Time // of each part
+	limit   int         // bytes that it holds at the most, 0 for any number
+	resume  chan struct{}
 }
 
-func (h *recordingHandler) HandleInput(input []byte, receivedAt time.Time) (peerGone bool, pause time.Duration) {
+func (h *recordingHandler) HandleInput(input []byte, receivedAt, _ time.Time) InputResult {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.limit > 0 && len(h.input) >= h.limit {
+		return InputResult{Pause: time.Minute, Resume: h.resume}
+	}
 	h.input += string(input)
 	h.arrived = append(h.arrived, receivedAt)
-	return strings.HasSuffix(h.input, "gone"), 0
+	return InputResult{Taken: len(input), PeerGone: strings.HasSuffix(h.input, "gone")}
+}
+
+// raiseLimit lets the handler take up to limit bytes, 0 for any number.
+func (h *recordingHandler) raiseLimit(limit int) {
+	h.mu.Lock()
+	h.limit = limit
+	h.mu.Unlock()
+	h.resume <- struct{}{}
 }
 
 func (h *recordingHandler) HasInput() bool { return h.length() > 0 }
@@ -325,10 +338,10 @@
 	require.Less(t, handedOverAt.Sub(handler.arrived[1]), 35*time.Millisecond)
 
 	sent := strings.Repeat("0123456789abcdef", 1<<17) // far more than all buffers hold
-	go func() {
+	go func(peer *net.TCPConn) {
 		io.WriteString(peer, sent)
 		peer.CloseWrite()
-	}()
+	}(peer)
 	require.Equal(t, ClosedByPeer, c.AwaitInput(func() bool { return false }))
 	require.Equal(t, "bcd"+sent, handler.input)
 
@@ -338,6 +351,52 @@
 	require.Equal(t, ClosedByPeer, c.AwaitInput(func() bool { return false }), "the handler knows that the peer has gone")
 }
 
+// Guards against requests that lay in the socket while the handler had no room and seem younger than they are, and
+// against later ones that seem older.
+func TestArrivalTimesAroundAPause(t *testing.T) {
+	c, peer, _ := newConnPair(t, 16<<10)
+	handler := &recordingHandler{limit: 1, resume: make(chan struct{}, 1)}
+	c.SetInputHandler(handler)
+	send := func(text string) time.Time {
+		sentAt := time.Now()
+		peer.Write([]byte(text))
+		return sentAt
+	}
+	await := func(length int) time.Time {
+		require.Eventually(t, func() bool { return handler.length() == length }, time.Second, time.Millisecond)
+		handler.mu.Lock()
+		defer handler.mu.Unlock()
+		return handler.arrived[len(handler.arrived)-1]
+	}
+	firstAt := send("a")
+	require.Less(t, await(1).Sub(firstAt), 15*time.Millisecond)
+	secondAt := send("b") // the handler has no room for it
+	time.Sleep(50 * time.Millisecond)
+	send("c")
+	time.Sleep(50 * time.Millisecond)
+	handler.raiseLimit(0)
+	require.Less(t, await(3).Sub(secondAt), 15*time.Millisecond, "the third may have come right after the second")
+	time.Sleep(2 * quietTime)
+	fourthAt := send("d")
+	require.GreaterOrEqual(t, await(4), fourthAt, "after a time without input")
+
+	unread, start := unreadInput{}, time.Now()
+	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+	unread.pauseBegins(at(0))
+	unread.pauseEnds(at(10))
+	unread.pauseBegins(at(20))
+	unread.pauseEnds(at(30))
+	for millis := 31; millis < 80; millis += 2 {
+		require.Equal(t, at(0), unread.arrivalTime(at(millis), true), "the sender may have held it back")
+	}
+	require.Equal(t, at(81), unread.arrivalTime(at(81), true), "a sender that never rests has caught up")
+	unread.pauseBegins(at(90))
+	unread.pauseEnds(at(100))
+	require.Equal(t, at(90), unread.arrivalTime(at(200), false), "not all that came meanwhile was read")
+	require.Equal(t, at(90), unread.arrivalTime(at(300), true))
+	require.Equal(t, at(301), unread.arrivalTime(at(301), true))
+}
+
 // Guards against a shutdown that never comes to an end because input keeps arriving: StopReading stops whatever
 // has arrived, and nothing later is taken.
 func TestStopReadingWhileInputArrives(t *testing.T) {
