--- a/internal/emulator/sockets/clients.go
+++ b/internal/emulator/sockets/clients.go
@@ -52,19 +52,21 @@
 	fleet       *Fleet
 	descriptors *transport.Descriptors
 	lastID      atomic.Uint64
+	answers     *protocol.AnswerBudget
 	mu          sync.Mutex
 	idle        map[string][]protocol.Member
 }
 
 // NewClients returns clients for the drivers of a fleet.
 func (f *Fleet) NewClients() *Clients {
-	return &Clients{fleet: f, descriptors: transport.NewDescriptors(maxConns), idle: map[string][]protocol.Member{}}
+	return &Clients{fleet: f, descriptors: transport.NewDescriptors(maxConns), answers: protocol.NewAnswerBudget(maxAnswerBytes, maxAnswersBytes), idle: map[string][]protocol.Member{}}
 }
 
 const (
-	connectTimeout = time.Second
-	maxAnswerBytes = 1 << 20
-	answerSlack    = 100 * time.Millisecond // how long after the RPC's timeout an answer is still accepted
+	connectTimeout  = time.Second
+	maxAnswerBytes  = 1 << 20
+	maxAnswersBytes = 256 << 20              // of all answers
+	answerSlack     = 100 * time.Millisecond // how long after the RPC's timeout an answer is still accepted
 )
 
 // Call sends an RPC to a driver and waits for the answer.
@@ -77,7 +79,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 		defer cancel()
 		var reason transport.CloseReason
-		if conn, reason = protocol.Connect(c.fleet.ctx, callCtx, c.descriptors, address, maxAnswerBytes, nil); reason != transport.Open {
+		if conn, reason = protocol.Connect(c.fleet.ctx, callCtx, c.descriptors, address, c.answers, nil); reason != transport.Open {
 			reply.Outcome = ConnectFailed
 			return reply
 		}
@@ -86,6 +88,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, rpc.Timeout+answerSlack)
 	defer cancel()
 	answer, _, reason := conn.Query(callCtx, rpc.statement(reply.ID))
+	defer answer.Release()
 	reply.Outcome = outcomeOf(answer, reason)
 	if answer != nil && answer.Failure == nil {
 		reply.Value = answer.Value()
--- a/internal/emulator/sockets/drivers.go
+++ b/internal/emulator/sockets/drivers.go
@@ -251,7 +251,7 @@
 func (d *Driver) WaitReady(ctx context.Context) error {
 	descriptors := transport.NewDescriptors(maxConns)
 	for ctx.Err() == nil {
-		conn, reason := protocol.Connect(ctx, ctx, descriptors, d.Address, protocol.RingBytes, nil)
+		conn, reason := protocol.Connect(ctx, ctx, descriptors, d.Address, protocol.NewAnswerBudget(protocol.RingBytes, 0), nil)
 		if reason == transport.Open {
 			reason = conn.Ping(ctx)
 			conn.Close(transport.ShutDown)
--- a/internal/program/client_memory_test.go
+++ b/internal/program/client_memory_test.go
@@ -1,6 +1,7 @@
 package program_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -171,3 +172,49 @@
 	require.Zero(t, late.Load(), "each bad client is closed in time")
 	require.Greater(t, served, 20*refused, fmt.Sprintf("%d refused", refused))
 }
+
+// Guards against a driver that goes over its memory because members answer many queries with values that never end,
+// and against memory that such answers keep for good.
+func TestUnfinishedAnswersAreBounded(t *testing.T) {
+	const clients, memoryMB, valueBytes = 100, 32, 1900 << 10
+	primary, replica, other := newFakeMember(t, "p", "leader"), newFakeMember(t, "r", "follower"), newFakeMember(t, "s", "follower")
+	driver := startProcess(t, newFakeDiscovery(t, primary, replica, other), withLimits(memoryMB, 1024))
+	size := string(binary.BigEndian.AppendUint32(nil, valueBytes))
+	description, _, _ := strings.Cut(rowMessages(""), "D\x00")
+	endless := description + message("D", "\x00\x01"+size+strings.Repeat("x", valueBytes))
+	members := []*fakeMember{primary, replica, other}
+	var ended atomic.Bool
+	var running sync.WaitGroup
+	running.Go(func() {
+		for n := 0; !ended.Load(); n++ { // members that answer no query well get none
+			members[n%3].setBehavior([]string{"raw " + endless[:len(endless)-100], ""}[n/3%2])
+			time.Sleep(7 * time.Millisecond)
+		}
+	})
+	for range clients {
+		client := &resendingClient{driver: driver.testDriver}
+		running.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				client.ask(t, statement([]string{"read", "write"}[n%2], 1000))
+			}
+			client.conn.Close()
+		})
+	}
+	maxMemory := 0
+	for startTime := time.Now(); time.Since(startTime) < 4*time.Second; time.Sleep(5 * time.Millisecond) {
+		megabytes, _ := resourceUse(t, driver.pid)
+		maxMemory = max(maxMemory, megabytes)
+	}
+	ended.Store(true)
+	running.Wait()
+	t.Logf("%d MB at most", maxMemory)
+	require.LessOrEqual(t, maxMemory, memoryMB)
+	for _, member := range members {
+		member.setBehavior("raw " + rowMessages(strings.Repeat("v", 300<<10)) + member.status().messages() + message("Z", "I"))
+	}
+	for range 20 {
+		client := driver.connect(t)
+		eventually(t, "large answers are passed on", func() bool { return len(client.ask(t, statement("read", 1000))) == 300<<10 })
+		client.Close()
+	}
+}
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -4,24 +4,38 @@
 	"math"
 	"runtime"
 	"runtime/debug"
+
+	"sedgespread/internal/protocol"
 )
 
 const (
 	heapLimitFraction = 0.7 // fraction of the memory limit that the Go heap may use
 
-	// The inputs of clients may hold what is left of the heap after these, and half of that again for what
-	// the garbage collector has not freed yet.
+	// What clients and members have sent may take what is left of the heap after these.
 	baseHeapBytes  = 6 << 20  // of a driver without clients
 	bytesPerSocket = 10 << 10 // buffers and stacks of a connection
-	// minInputDivisor is for limits that leave less than this share.
-	minInputDivisor = 12
+
+	inputsFraction  = 2. / 3 // of that, for the inputs of clients; some is left for what is not collected yet
+	answersFraction = 1. / 4 // of that, for the answers of members
+	minDivisor      = 12     // each gets this share of the memory limit at the least
+
+	maxAnswerDivisor = 16 // one message of an answer may use this share of the memory limit
 )
 
-// inputBytes returns how much memory the inputs of all clients may hold together.
-func (c *Config) inputBytes() int {
+// sharedBytes returns how much memory may be used for something that gets the given fraction of what the
+// connections of clients and members may hold together.
+func (c *Config) sharedBytes(fraction float64) int {
 	heap := int(float64(c.MemoryMB<<20) * heapLimitFraction)
 	rest := heap - baseHeapBytes - int(c.Sockets)*bytesPerSocket
-	return max(rest*2/3, int(c.MemoryMB<<20)/minInputDivisor)
+	return max(int(float64(rest)*fraction), int(c.MemoryMB<<20)/minDivisor)
+}
+
+// inputBytes returns how much memory the inputs of all clients may hold together.
+func (c *Config) inputBytes() int { return c.sharedBytes(inputsFraction) }
+
+// answerBudget returns the budget of members' answers.
+func (c *Config) answerBudget() *protocol.AnswerBudget {
+	return protocol.NewAnswerBudget(int(c.MemoryMB<<20/maxAnswerDivisor), c.sharedBytes(answersFraction))
 }
 
 // ApplyLimits sets GOMAXPROCS and the runtime's memory limit from the configured limits.
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -18,7 +18,7 @@
 	descriptors    *transport.Descriptors
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
-	maxAnswerBytes int
+	answers        *protocol.AnswerBudget
 	onNotPrimary   func(rules.MemberID) // called as soon as a member reports that it is not the primary
 
 	mu         sync.Mutex
@@ -27,8 +27,6 @@
 	returns    map[rules.MemberID]*returnTimes // when connections were returned to the pool
 }
 
-const maxAnswerDivisor = 16 // an answer may use at most 1/16 of the memory limit
-
 // memberConn is a connection to a member that carries no statement.
 type memberConn struct {
 	protocol.Member
@@ -56,7 +54,7 @@
 func newMemberPools(lifetime context.Context, descriptors *transport.Descriptors, config *Config,
 	onNotPrimary func(rules.MemberID)) *memberPools {
 	return &memberPools{lifetime: lifetime, descriptors: descriptors, connectTimeout: config.ConnectTimeout,
-		idleTimeout: config.IdleTimeout, maxAnswerBytes: int(config.MemoryMB << 20 / maxAnswerDivisor),
+		idleTimeout: config.IdleTimeout, answers: config.answerBudget(),
 		onNotPrimary: onNotPrimary, idle: map[rules.MemberID][]memberConn{},
 		unanswered: map[rules.MemberID]bool{}, returns: map[rules.MemberID]*returnTimes{}}
 }
@@ -108,9 +106,9 @@
 		p.evict()
 	}
 	onNotPrimary := func() { p.onNotPrimary(member) }
-	conn, reason := protocol.Connect(p.lifetime, dialCtx, p.descriptors, address, p.maxAnswerBytes, onNotPrimary)
+	conn, reason := protocol.Connect(p.lifetime, dialCtx, p.descriptors, address, p.answers, onNotPrimary)
 	for reason == transport.NoDescriptor && (p.evict() || sleep(dialCtx, descriptorRetryInterval)) {
-		conn, reason = protocol.Connect(p.lifetime, dialCtx, p.descriptors, address, p.maxAnswerBytes, onNotPrimary)
+		conn, reason = protocol.Connect(p.lifetime, dialCtx, p.descriptors, address, p.answers, onNotPrimary)
 	}
 	now := time.Now()
 	return memberConn{Member: conn, address: address, openedAt: now, idleSince: now}, reason
--- a/internal/program/prober.go
+++ b/internal/program/prober.go
@@ -73,6 +73,7 @@
 		return routing.Outcome{CloseReason: reason}
 	}
 	answer, sent, reason := conn.Query(ctx, protocol.LoadQuery)
+	answer.Release() // it is not sent on
 	p.pools.recordResult(member, answer != nil, reason)
 	if reason == transport.Open {
 		p.pools.put(member, conn, time.Now())
--- a/internal/program/session.go
+++ b/internal/program/session.go
@@ -128,6 +128,7 @@
 	}
 	isLast := client.StopBeforeLastAnswer()
 	reason := p.sendAnswer(client, final)
+	final.Answer.Release()
 	if isLast && reason == transport.Open {
 		return client.RefuseRest()
 	}
@@ -145,7 +146,10 @@
 			return step
 		}
 		p.tasks.Go(func() error {
-			rpc.ReportAttempt(step.AttemptNumber, p.runAttempt(step, statement, rpc))
+			outcome := p.runAttempt(step, statement, rpc)
+			if !rpc.ReportAttempt(step.AttemptNumber, outcome) {
+				outcome.Answer.Release()
+			}
 			return nil
 		})
 	}
--- a/internal/protocol/descriptors_test.go
+++ b/internal/protocol/descriptors_test.go
@@ -29,7 +29,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
-	_, reason := Connect(context.Background(), ctx, descriptors, listener.Addr().String(), 1000, nil)
+	_, reason := Connect(context.Background(), ctx, descriptors, listener.Addr().String(), NewAnswerBudget(1000, 0), nil)
 	require.Equal(t, transport.NoDescriptor, reason)
 	require.Equal(t, 1, descriptors.Free())
 	_, err = NewDiscovery(descriptors, listener.Addr().String()).FetchAll(context.Background(), ctx)
--- a/internal/protocol/member.go
+++ b/internal/protocol/member.go
@@ -12,7 +12,7 @@
 // Member is a connection to a member. It processes one statement at a time.
 type Member struct {
 	*transport.Conn
-	maxMessageBytes int
+	answers *AnswerBudget
 	// onNotPrimary, if not nil, is called when the member reports that it is a replica, also if the
 	// answer then fails.
 	onNotPrimary func()
@@ -25,20 +25,29 @@
 	IsReplica      bool
 	PositionMillis int64     // 0 if not reported
 	messages       []message // the row's messages, unchanged
+	memory         answerMemory
+}
+
+// Release gives back the memory that the answer holds. It is called once the answer has been sent on, or is
+// known not to be.
+func (a *Answer) Release() {
+	if a != nil {
+		a.memory.resize(0)
+	}
 }
 
 // startupMessage consists of its length, the protocol version, the user and the database.
 const startupMessage = "\x00\x00\x00\x25\x00\x03\x00\x00user\x00backend\x00database\x00store\x00\x00"
 
 // Connect opens a connection to a member and waits until it is ready. ctx bounds the handshake, connCtx
-// the life of the connection, and maxMessageBytes the size of a message from the member. onNotPrimary,
-// if not nil, is called whenever the member reports that it is a replica.
-func Connect(connCtx, ctx context.Context, descriptors *transport.Descriptors, address string, maxMessageBytes int, onNotPrimary func()) (Member, transport.CloseReason) {
+// the life of the connection, and answers what the member sends. onNotPrimary, if not nil, is called
+// whenever the member reports that it is a replica.
+func Connect(connCtx, ctx context.Context, descriptors *transport.Descriptors, address string, answers *AnswerBudget, onNotPrimary func()) (Member, transport.CloseReason) {
 	conn, reason := transport.Dial(connCtx, ctx, descriptors, reservedForDiscovery, address, RingBytes)
 	if reason != transport.Open {
 		return Member{}, reason
 	}
-	member := Member{conn, maxMessageBytes, onNotPrimary}
+	member := Member{conn, answers, onNotPrimary}
 	defer member.closeOnDone(ctx)()
 	member.Write(startupMessage)
 	if reason = member.Flush(); reason == transport.Open {
@@ -63,8 +72,10 @@
 
 // awaitReady reads the member's startup messages up to ReadyForQuery.
 func (m Member) awaitReady() transport.CloseReason {
+	memory := answerMemory{budget: m.answers}
+	defer memory.resize(0)
 	for {
-		msg, reason := readMessage(m.Conn, m.maxMessageBytes)
+		msg, reason := readMessage(m.Conn, &memory)
 		if reason != transport.Open {
 			return reason
 		}
@@ -96,14 +107,14 @@
 
 // Query sends a statement, given in pieces, and waits for its answer. sent reports whether all of it
 // was written. The connection can be reused if reason is Open; any other may come with a complete
-// answer as well.
+// answer as well. The caller releases the answer.
 func (m Member) Query(ctx context.Context, statement ...string) (answer *Answer, sent bool, reason transport.CloseReason) {
 	defer m.closeOnDone(ctx)()
 	writeMessage(m.Conn, kindQuery, append(statement, "\x00")...)
 	if reason = m.Flush(); reason != transport.Open {
 		return nil, false, reason
 	}
-	answer = &Answer{}
+	answer = &Answer{memory: answerMemory{budget: m.answers}}
 	complete := false
 	if reason = m.Await(1); reason == transport.Open { // from here on the member must not stall
 		m.SetReadTimeout(answerReadTimeout)
@@ -114,6 +125,7 @@
 		m.Close(reason)
 	}
 	if !complete {
+		answer.Release()
 		answer = nil
 	}
 	return answer, true, m.CloseReason()
@@ -126,7 +138,7 @@
 // connection breaks after the answer's last message, but not if malformed input follows.
 func (a *Answer) read(member Member) (complete bool, reason transport.CloseReason) {
 	for {
-		msg, reason := readMessage(member.Conn, member.maxMessageBytes)
+		msg, reason := readMessage(member.Conn, &a.memory)
 		if reason != transport.Open {
 			return complete && reason != transport.Malformed && reason != transport.TooLong, reason
 		}
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"time"
 	"unsafe"
 
@@ -52,12 +51,12 @@
 	kind       byte
 	body       string
 	raw        string
-	receivedAt time.Time // when the last byte arrived
+	receivedAt time.Time // when the last byte arrived; only set for a client's
 }
 
-// readMessage reads a message of at most maxBytes. It allocates as data arrives, so that an announced
-// length alone costs no memory.
-func readMessage(c *transport.Conn, maxBytes int) (message, transport.CloseReason) {
+// readMessage reads a message. It allocates as data arrives, so that an announced length alone costs no
+// memory. What it allocates counts as held by memory.
+func readMessage(c *transport.Conn, memory *answerMemory) (message, transport.CloseReason) {
 	if reason := c.Await(headerBytes); reason != transport.Open {
 		return message{}, reason
 	}
@@ -67,22 +66,28 @@
 	switch {
 	case length < lengthBytes:
 		return message{}, transport.Malformed
-	case length+1 > int64(maxBytes):
+	case length+1 > int64(memory.budget.maxMessageBytes):
 		return message{}, transport.TooLong
 	}
 	total := int(length) + 1
-	var receivedAt time.Time
-	raw := make([]byte, 0, min(total, readChunkBytes))
+	var raw []byte
 	for len(raw) < total {
 		n := min(total-len(raw), readChunkBytes)
 		if reason := c.Await(n); reason != transport.Open {
 			return message{}, closedToTruncated(reason)
 		}
-		raw = slices.Grow(raw, n)[:len(raw)+n]
-		receivedAt = c.Read(raw[len(raw)-n:])
+		if len(raw)+n > cap(raw) {
+			capacity := min(total, max(readChunkBytes, 2*cap(raw)))
+			if !memory.grow(c, capacity-cap(raw)) {
+				return message{}, transport.TooLong
+			}
+			raw = append(make([]byte, 0, capacity), raw...)
+		}
+		raw = raw[:len(raw)+n]
+		c.Read(raw[len(raw)-n:])
 	}
 	text := unsafe.String(&raw[0], len(raw)) // raw is not modified after this
-	return message{kind: header[0], body: text[headerBytes:], raw: text, receivedAt: receivedAt}, transport.Open
+	return message{kind: header[0], body: text[headerBytes:], raw: text}, transport.Open
 }
 
 // writeMessage writes a message whose body is the concatenated pieces.
--- a/internal/protocol/serve.go
+++ b/internal/protocol/serve.go
@@ -35,10 +35,12 @@
 func (m Member) Ping(ctx context.Context) transport.CloseReason {
 	defer m.closeOnDone(ctx)()
 	writeMessage(m.Conn, kindQuery, "\x00")
+	memory := answerMemory{budget: m.answers}
+	defer memory.resize(0)
 	reason := m.Flush()
 	for reason == transport.Open {
 		var msg message
-		if msg, reason = readMessage(m.Conn, m.maxMessageBytes); reason == transport.Open && msg.kind == kindReady {
+		if msg, reason = readMessage(m.Conn, &memory); reason == transport.Open && msg.kind == kindReady {
 			return transport.Open
 		}
 	}
--- a/internal/protocol/stream_test.go
+++ b/internal/protocol/stream_test.go
@@ -28,6 +28,11 @@
 	return transport.NewConn(context.Background(), conn, RingBytes, func() {}), conn
 }
 
+// newAnswer returns an answer whose messages may have maxBytes each.
+func newAnswer(maxBytes int) *Answer {
+	return &Answer{memory: answerMemory{budget: NewAnswerBudget(maxBytes, 16*maxAnswerBytes)}}
+}
+
 // encodeMessage returns a message as it is on the wire.
 func encodeMessage(kind byte, body string) string {
 	length := len(body) + 4
@@ -111,8 +116,8 @@
 		"": {false, "", transport.ClosedByPeer},
 	} {
 		conn, _ := newScriptedConn(text)
-		answer := &Answer{}
-		complete, reason := answer.read(Member{Conn: conn, maxMessageBytes: maxAnswerBytes})
+		answer := newAnswer(maxAnswerBytes)
+		complete, reason := answer.read(Member{Conn: conn})
 		require.Equal(t, want.complete, complete, "%q", text)
 		require.Equal(t, want.reason, reason, "%q", text)
 		if want.complete && want.state == "" {
@@ -129,19 +134,19 @@
 func TestForwardKeepsAnswers(t *testing.T) {
 	large := rowDescription + encodeMessage('D', "\x00\x01\x00\x08\x00\x00"+strings.Repeat("0123456789abcdef", 1<<15)) + encodeMessage('C', "SELECT 1\x00")
 	memberConn, _ := newScriptedConn(large + readyForQuery)
-	answer := &Answer{}
-	_, reason := answer.read(Member{Conn: memberConn, maxMessageBytes: maxAnswerBytes})
+	answer := newAnswer(maxAnswerBytes)
+	_, reason := answer.read(Member{Conn: memberConn})
 	require.Equal(t, transport.Open, reason)
 	clientConn, script := newScriptedConn("")
 	require.Equal(t, transport.Open, NewClient(clientConn, NewInputs(0)).Forward(answer))
 	require.Equal(t, large+readyForQuery, script.written.String())
 	memberConn, _ = newScriptedConn(large + readyForQuery)
-	_, reason = new(Answer).read(Member{Conn: memberConn, maxMessageBytes: 1 << 18})
+	_, reason = newAnswer(1 << 18).read(Member{Conn: memberConn})
 	require.Equal(t, transport.TooLong, reason)
 
 	conn, _ := newScriptedConn(completeRow + statusParameters + readyForQuery)
-	small := &Answer{}
-	_, reason = small.read(Member{Conn: conn, maxMessageBytes: maxAnswerBytes})
+	small := newAnswer(maxAnswerBytes)
+	_, reason = small.read(Member{Conn: conn})
 	require.Equal(t, transport.Open, reason)
 	require.True(t, small.IsPrimary)
 	require.EqualValues(t, 7, small.PositionMillis)
@@ -210,12 +215,12 @@
 	f.Add(encodeMessage('E', "SFATAL\x00C53300\x00Mno\x00Dx\x00\x00"))
 	f.Fuzz(func(t *testing.T, text string) {
 		conn, _ := newScriptedConn(text)
-		answer := &Answer{}
-		if complete, _ := answer.read(Member{Conn: conn, maxMessageBytes: maxAnswerBytes}); complete && answer.Failure == nil {
+		answer := newAnswer(maxAnswerBytes)
+		if complete, _ := answer.read(Member{Conn: conn}); complete && answer.Failure == nil {
 			require.Len(t, answer.messages, len(rowMessageKinds))
 			answer.Value()
 		}
-		Member{Conn: conn, maxMessageBytes: maxAnswerBytes}.awaitReady()
+		Member{Conn: conn, answers: NewAnswerBudget(maxAnswerBytes, 0)}.awaitReady()
 	})
 }
 
--- a/internal/routing/active_rpc.go
+++ b/internal/routing/active_rpc.go
@@ -202,14 +202,15 @@
 	}
 }
 
-// ReportAttempt reports the outcome of an attempt. Only the first report of an attempt counts.
-func (a *ActiveRPC) ReportAttempt(number int, outcome Outcome) {
+// ReportAttempt reports the outcome of an attempt. Only the first report of an attempt counts. It reports
+// whether its answer is that of the RPC, which comes with the last step.
+func (a *ActiveRPC) ReportAttempt(number int, outcome Outcome) (isServed bool) {
 	a.router.mu.Lock()
 	defer a.router.mu.Unlock()
 	attempt := &a.attempts[number]
 	onResult := attempt.onResult
 	if onResult == nil {
-		return
+		return false
 	}
 	attempt.cancel()
 	attempt.onResult = nil
@@ -221,7 +222,7 @@
 	if a.admission != nil {
 		a.recordAttemptEnd(attempt, class, outcome)
 	}
-	if class.proof == rules.OK && !a.isFinished {
+	if isServed = class.proof == rules.OK && !a.isFinished; isServed {
 		a.finish(Step{Action: ActionServe, Answer: outcome.Answer})
 	} else if outcome.isSyntaxError() && !a.isFinished {
 		a.finish(Step{Action: ActionAbort})
@@ -237,6 +238,7 @@
 		roleNames[result.Role], result.Position/nanosPerMilli)
 	onResult(result)
 	a.removeIfDone()
+	return isServed
 }
 
 // startAttempt emits a step for a new attempt and returns its number. The router's lock must be held.
