Comments: what rules guard against and where they could do harm, put back

Put back in today's names, only what the old comments held and what is still true: pickMember, hasLatencyHeadroom, canTake, pickInLatencyWindow (choice), primaryEligibility, IsStale (freshness), updateErrorRate, adjustLimit, handleConnectFailure (health), markUnresponsive (probing), pollHeld, handleSlowAttempt (rules), Limits.admit (cells), memberPools.dial (program). No code is changed.

--- a/internal/cells/limits.go
+++ b/internal/cells/limits.go
@@ -110,7 +110,7 @@
 }
 
 // admit decides whether an RPC may start. It protects other cells and other tenants of the cell
-// from overload.
+// from overload. It could do harm where a cell's members bear far more than its share lets in.
 func (l *Limits) admit(t *Ticket, now int64) Reason {
 	l.decayLoads(now)
 	l.heavyHitters.Add(t.Tenant, 1)
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -98,7 +98,9 @@
 const descriptorRetryInterval = 5 * time.Millisecond
 
 // dial opens a connection. If no descriptor is free, it evicts an idle connection or waits for a
-// descriptor. It keeps some descriptors free for clients by evicting idle connections early.
+// descriptor. It keeps some descriptors free for clients by evicting idle connections early. Guards
+// against members that are taken for unresponsive where there are more of them than descriptors, and
+// against clients kept out by idle connections to members.
 func (p *memberPools) dial(ctx context.Context, member rules.MemberID, address string) (memberConn, transport.CloseReason) {
 	dialCtx, stop := context.WithTimeoutCause(ctx, p.connectTimeout, transport.DialTimedOut)
 	defer stop()
--- a/rules/choice.go
+++ b/rules/choice.go
@@ -14,7 +14,8 @@
 
 // pickMember returns the member for the next attempt of an RPC, or noMember if it has to wait. In
 // a large fleet, if no member is eligible, it may pick a replica with an outdated position and
-// probe it first, which keeps reads of drivers with few samples off the primary.
+// probe it first, which keeps reads of drivers with few samples off the primary. It could do harm
+// where probes are costly.
 func (d *Driver) pickMember(c *call) member {
 	g, primary := c.group, c.group.primary
 	eligible, outdated := d.scratch.eligible[:0], d.scratch.outdated[:0]
@@ -65,7 +66,8 @@
 
 // hasLatencyHeadroom reports whether a member's latency leaves room for a read. It applies in a
 // large fleet, where the concurrency limit of one driver says little. The threshold is drawn per
-// RPC so that not all drivers switch at once, and rises as the latency sample ages.
+// RPC so that not all drivers switch at once, and rises as the latency sample ages. Guards the
+// primary, and replicas that answer whatever they hold, which fall behind when they are crowded.
 func (d *Driver) hasLatencyHeadroom(m member, c *call) bool {
 	age := float64(d.host.Now()-d.latencyUpdated[m]) / float64(sec)
 	return !d.isInLargeFleet() || !c.isRead() || d.latencyRatio[m] < (lowLatencyRatio+c.latencyDraw*(2*highLatencyRatio-lowLatencyRatio))*(1+age)
@@ -73,15 +75,16 @@
 
 // canTake reports whether a member may get an attempt: it is below its concurrency limit and
 // expected to answer in time. Guards against load from requests whose clients would not wait for
-// the answer.
+// the answer, which would keep a busy member busy.
 func (d *Driver) canTake(m member, c *call, share float64) bool {
 	inTime := d.host.Now()+int64(d.latency[m]) <= c.usefulUntil()
 	return inTime && float64(d.inFlight[m]+1) <= max(1, d.limit[m]*share) && d.isUsable(m) && d.mayRetry(c, m)
 }
 
 // pickInLatencyWindow picks at random among the eligible members in the latency window, weighted
-// by capacity and inverse squared latency, so that drivers do not all choose the same member. A
-// member already probed for the RPC is picked directly.
+// by capacity and inverse squared latency, so that drivers do not all choose the same member, and
+// small members are not crowded beside large ones. A member already probed for the RPC is picked
+// directly.
 func (d *Driver) pickInLatencyWindow(eligible []member, probed member) member {
 	if len(eligible) == 0 {
 		return noMember
--- a/rules/freshness.go
+++ b/rules/freshness.go
@@ -53,8 +53,11 @@
 }
 
 // primaryEligibility returns whether a primary may serve a read by its role. It is probed first if
-// its last claim is too old or a later denial may have been lost: it may be a former or isolated
-// primary. If probes cannot settle its role, its last claim counts.
+// its last claim is too old or a later denial may have been lost. Guards against a former primary
+// whose denial comes in an answer that breaks off, or that nobody hears, and against an isolated one
+// that goes on believing in itself: it answers from data that grows older, and its position stands
+// still. If probes cannot settle its role, its last claim counts, as the read itself is the question
+// then; so does that of one whose position moves, but whose reports lag too far to show more.
 func (d *Driver) primaryEligibility(m member, c *call) eligibility {
 	state := &d.replication[m]
 	probesExhausted := c.primaryProbes >= maxPrimaryProbes
@@ -152,7 +155,8 @@
 }
 
 // IsStale reports whether the state that an answer carries proves that its data was too old for
-// the read when the attempt was made. This guards against a former primary that served the read.
+// the read when the attempt was made. This guards against a former primary that got the read on its
+// last claim, or on one that crossed the read: such an answer earns nothing, and another member may serve.
 // Rounding and clock differences count in favour of the answer.
 func (d *Driver) IsStale(id RPCID, observation Observation, attemptedAt int64) bool {
 	c := d.calls[id]
--- a/rules/health.go
+++ b/rules/health.go
@@ -69,7 +69,8 @@
 }
 
 // updateErrorRate updates a member's error rate from its own answers and from peers. Guards
-// against members that fail fast, which would otherwise look like the fastest.
+// against members that fail fast, which would otherwise look like the fastest. One that has not
+// failed for a while is tried again.
 func (d *Driver) updateErrorRate(m member, failed bool) {
 	d.errorRate[m] *= 1 - errorWeight
 	if failed {
@@ -85,7 +86,8 @@
 
 // adjustLimit adapts a member's concurrency limit to its latency. Attempts that ended without an
 // answer count too, because an overloaded member may complete none. The limit grows while answers
-// are fast, doubling during recovery, and shrinks while they approach the soft deadline.
+// are fast, doubling during recovery, and shrinks while they approach the soft deadline: such work
+// is better held than done in vain.
 func (d *Driver) adjustLimit(m member, latency float64, target int64, ok bool) {
 	d.updateLatency(m, latency, target)
 	// At this concurrency attempts do not queue; latency has another cause.
@@ -108,8 +110,8 @@
 }
 
 // handleConnectFailure handles a refused connection. The member may be out of connections, so the
-// driver backs off and closes idle ones for a while; a member that is down is detected by the
-// probe.
+// driver backs off and closes idle ones for a while, so that other drivers get them; a member that
+// is down is detected by the probe. It could do harm where connections are costly.
 func (d *Driver) handleConnectFailure(m member, now int64) {
 	d.probe(m)
 	if now >= d.connectionsScarceUntil {
--- a/rules/probing.go
+++ b/rules/probing.go
@@ -84,7 +84,8 @@
 }
 
 // markUnresponsive stops attempts to a member that does not answer until it answers again. Guards
-// against crashed, partitioned and hung members.
+// against crashed, partitioned and hung members: no attempt is lost on one before it answers again.
+// It could do harm where only probes get lost.
 func (d *Driver) markUnresponsive(m member) {
 	if !d.isUnresponsive[m] {
 		d.isUnresponsive[m], d.unresponsiveSince[m] = true, d.host.Now()-probeTimeout
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -101,7 +101,7 @@
 
 // pollHeld rechecks a held RPC until it is sent or no answer could arrive in time. One that has
 // reached no member is given up earlier, so that its client has time to retry elsewhere while a
-// primary is unavailable.
+// primary is unavailable. It could do harm where one that is away comes back within moments.
 func (d *Driver) pollHeld(c *call) {
 	now := d.host.Now()
 	remaining := c.usefulUntil() - int64(c.group.latency) - now
@@ -207,7 +207,8 @@
 
 // handleSlowAttempt hedges a slow attempt where allowed, and reports whether it still counts
 // against its member's concurrency limit. On a member that answers others quickly the attempt is
-// taken for lost: guards against members and links that drop requests.
+// taken for lost: guards against members and links that drop requests. It could do harm, by crowding,
+// where a few requests take far longer than all others.
 func (d *Driver) handleSlowAttempt(c *call, m member, number int) (holdsSlot bool) {
 	if c.isStreaming || !slices.Contains(c.inFlight, number) {
 		return true
