Log what is not taken for want of memory; SIGHUP changes those limits too

`limits.memory_mb` takes effect on SIGHUP, as README says, but the bounds on inputs and answers kept the value of the start: a driver that was given less memory would have gone over it. Inputs.SetLimit and AnswerBudget.SetLimits change them; what is held beyond a lowered limit stays until it is released.

Measured: TestInputLimitChanges (new; there was no way to change the limits before), TestReload and the tests of both packages pass.

--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -4,8 +4,6 @@
 	"math"
 	"runtime"
 	"runtime/debug"
-
-	"sedgespread/internal/protocol"
 )
 
 const (
@@ -33,9 +31,10 @@
 // inputBytes returns how much memory the inputs of all clients may hold together.
 func (c *Config) inputBytes() int { return c.sharedBytes(inputsFraction) }
 
-// answerBudget returns the budget of members' answers.
-func (c *Config) answerBudget() *protocol.AnswerBudget {
-	return protocol.NewAnswerBudget(int(c.MemoryMB<<20/maxAnswerDivisor), c.sharedBytes(answersFraction))
+// answerBytes returns how much memory one message of a member's answer may take, and how much the answers
+// of all members together.
+func (c *Config) answerBytes() (message, total int) {
+	return int(c.MemoryMB << 20 / maxAnswerDivisor), c.sharedBytes(answersFraction)
 }
 
 // ApplyLimits sets GOMAXPROCS and the runtime's memory limit from the configured limits.
--- a/internal/program/pools.go
+++ b/internal/program/pools.go
@@ -54,7 +54,7 @@
 func newMemberPools(lifetime context.Context, descriptors *transport.Descriptors, config *Config,
 	onNotPrimary func(rules.MemberID)) *memberPools {
 	return &memberPools{lifetime: lifetime, descriptors: descriptors, connectTimeout: config.ConnectTimeout,
-		idleTimeout: config.IdleTimeout, answers: config.answerBudget(),
+		idleTimeout: config.IdleTimeout, answers: protocol.NewAnswerBudget(config.answerBytes()),
 		onNotPrimary: onNotPrimary, idle: map[rules.MemberID][]memberConn{},
 		unanswered: map[rules.MemberID]bool{}, returns: map[rules.MemberID]*returnTimes{}}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -77,6 +77,7 @@
 	var sessions errgroup.Group
 	p.tasks.Go(func() error { return p.runScheduledWork(p.lifetime) })
 	p.tasks.Go(func() error { p.idleClients.runSweeper(p.lifetime); return nil })
+	p.tasks.Go(func() error { p.logShortage(p.lifetime); return nil })
 	p.tasks.Go(func() error { p.reloadOnSignal(reload); return nil })
 	p.tasks.Go(func() error {
 		p.peers.receive(p.router, func() { p.readiness.recordPeerMessage(p.router) })
--- a/internal/protocol/answer_budget.go
+++ b/internal/protocol/answer_budget.go
@@ -10,10 +10,11 @@
 // AnswerBudget bounds the memory of members' answers, from when they are received until they have been sent
 // on: of each message, and of all answers together.
 type AnswerBudget struct {
+	mu              sync.Mutex
 	maxMessageBytes int
-
-	mu        sync.Mutex
-	available int
+	limit           int // bytes that may be reserved
+	available       int // bytes that may still be reserved; negative after the limit was lowered
+	cut             int // answers that were not taken for want of memory
 }
 
 const (
@@ -25,10 +26,25 @@
 	answerWaitInterval = 5 * time.Millisecond
 )
 
-// NewAnswerBudget returns a budget of total bytes, beyond what each answer may hold in any case, for messages
+// NewAnswerBudget returns a budget of limit bytes, beyond what each answer may hold in any case, for messages
 // of at most maxMessageBytes.
-func NewAnswerBudget(maxMessageBytes, total int) *AnswerBudget {
-	return &AnswerBudget{maxMessageBytes: maxMessageBytes, available: total}
+func NewAnswerBudget(maxMessageBytes, limit int) *AnswerBudget {
+	return &AnswerBudget{maxMessageBytes: maxMessageBytes, limit: limit, available: limit}
+}
+
+// SetLimits changes both limits. What is held beyond them stays until it is released.
+func (b *AnswerBudget) SetLimits(maxMessageBytes, limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.available += limit - b.limit
+	b.maxMessageBytes, b.limit = maxMessageBytes, limit
+}
+
+// maxMessage returns the limit of one message.
+func (b *AnswerBudget) maxMessage() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return int64(b.maxMessageBytes)
 }
 
 // Available returns how many bytes may still be reserved.
@@ -38,6 +54,21 @@
 	return b.available
 }
 
+// TakeShortage returns how many answers were not taken for want of memory since the last call.
+func (b *AnswerBudget) TakeShortage() (answers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	answers, b.cut = b.cut, 0
+	return answers
+}
+
+// countCut counts an answer that was not taken for want of memory.
+func (b *AnswerBudget) countCut() {
+	b.mu.Lock()
+	b.cut++
+	b.mu.Unlock()
+}
+
 // resize changes a reservation and reports whether that was possible. An answer gets at most half of what is
 // still available, so that one that never ends fails before others.
 func (b *AnswerBudget) resize(from, to int) bool {
@@ -61,6 +92,7 @@
 func (m *answerMemory) grow(c *transport.Conn, n int) bool {
 	for waited := time.Duration(0); !m.resize(m.held + n); waited += answerWaitInterval {
 		if waited >= maxAnswerWait || c.CloseReason() != transport.Open {
+			m.budget.countCut()
 			return false
 		}
 		time.Sleep(answerWaitInterval)
--- a/internal/protocol/answer_budget_test.go
+++ b/internal/protocol/answer_budget_test.go
@@ -27,6 +27,7 @@
 	require.Less(t, budget.Available(), total-(300<<10))
 	another, reason := read(400 << 10)
 	require.Equal(t, transport.TooLong, reason, "over half of what is left")
+	require.Equal(t, 1, budget.TakeShortage())
 	small, reason := read(50 << 10)
 	require.Equal(t, transport.Open, reason)
 	require.Len(t, small.Value(), 50<<10)
--- a/internal/protocol/client_input.go
+++ b/internal/protocol/client_input.go
@@ -132,10 +132,14 @@
 		return
 	}
 	in.total = int(length) + 1
-	in.isRefused = in.header[0] == kindQuery && !in.mayBegin() || !in.growMessage()
-	if !in.isRefused {
-		in.raw = append(in.raw, in.header[:]...)
+	if in.isRefused = in.header[0] == kindQuery && !in.mayBegin(); in.isRefused {
+		return
+	}
+	if !in.growMessage() {
+		in.refuseMessage()
+		return
 	}
+	in.raw = append(in.raw, in.header[:]...)
 }
 
 // mayBegin reports whether a query that begins now may be taken. While draining that is one, if none is
@@ -210,8 +214,9 @@
 	return true
 }
 
-// refuseMessage drops what has arrived of the message.
+// refuseMessage drops what has arrived of the message, for want of memory.
 func (in *clientInput) refuseMessage() {
+	in.shared.countRefusal()
 	in.isRefused = true
 	in.drop(len(in.raw))
 	in.releaseMessage()
--- a/internal/protocol/client_input_test.go
+++ b/internal/protocol/client_input_test.go
@@ -71,6 +71,7 @@
 	held := len(greedy.queue) - 1 // the last entry is the refusal of the others
 	require.Greater(t, held, 1)
 	require.Less(t, held, 6)
+	require.Equal(t, InputShortage{Refused: 30 - held}, shared.TakeShortage())
 	modest, feedModest := newInput(shared)
 	feedModest(largeQuery("modest"), time.Now())
 	require.Len(t, takeAll(modest), 1)
@@ -99,6 +100,32 @@
 	require.Equal(t, 100<<20, hoarder.shared.Available(), "a connection that ends returns what it held")
 }
 
+// Guards against a limit that was changed by a reload and holds only for what comes after a restart.
+func TestInputLimitChanges(t *testing.T) {
+	shared := NewInputs(1 << 20)
+	in, feed := newInput(shared)
+	feed(largeQuery("before"), time.Now())
+	shared.SetLimit(50 << 10)
+	require.Negative(t, shared.Available())
+	feed(largeQuery("lowered"), time.Now())
+	got := takeAll(in)
+	require.Contains(t, got[0], "before")
+	require.Equal(t, []string{"refused"}, got[1:])
+	require.Equal(t, 50<<10, shared.Available())
+	shared.SetLimit(1 << 20)
+	feed(largeQuery("raised"), time.Now())
+	require.Contains(t, takeAll(in)[0], "raised")
+
+	budget := NewAnswerBudget(1<<20, 1<<20)
+	memory := answerMemory{budget: budget}
+	require.True(t, memory.resize(400<<10))
+	budget.SetLimits(1<<10, 100<<10)
+	require.Negative(t, budget.Available())
+	require.EqualValues(t, 1<<10, budget.maxMessage())
+	require.True(t, memory.resize(0))
+	require.Equal(t, 100<<10, budget.Available())
+}
+
 // Guards against small queries that are refused because others hold all memory.
 func TestSmallQueriesNeedNoReservation(t *testing.T) {
 	in, feed := newInput(NewInputs(0))
@@ -133,6 +160,7 @@
 	require.Contains(t, takeAll(usual)[0], "usual")
 	require.True(t, stalled[0].isRefused, "the one that stood still for longest")
 	require.Nil(t, stalled[0].raw)
+	require.Positive(t, shared.TakeShortage().Dropped)
 	require.False(t, stalled[len(stalled)-1].isRefused, "only as many as needed")
 	for _, in := range stalled {
 		rest := largeQuery("half")[60<<10:]
--- a/internal/protocol/inputs.go
+++ b/internal/protocol/inputs.go
@@ -13,9 +13,17 @@
 	draining atomic.Bool
 
 	mu        sync.Mutex
-	available int                       // bytes that may still be reserved
+	limit     int                       // bytes that may be reserved
+	available int                       // bytes that may still be reserved; negative after the limit was lowered
 	holders   map[*clientInput]struct{} // inputs that have reserved memory
 	waiting   list.List                 // of *clientInput, for memory, first come first served
+	shortage  InputShortage
+}
+
+// InputShortage counts what was not taken for want of memory.
+type InputShortage struct {
+	Refused int // queries
+	Dropped int // unfinished messages that lost their memory to others
 }
 
 const (
@@ -35,7 +43,16 @@
 
 // NewInputs returns Inputs that hold at most limit bytes beyond what each connection may hold in any case.
 func NewInputs(limit int) *Inputs {
-	return &Inputs{available: limit, holders: map[*clientInput]struct{}{}}
+	return &Inputs{limit: limit, available: limit, holders: map[*clientInput]struct{}{}}
+}
+
+// SetLimit changes the limit. What is held beyond it stays until it is released.
+func (s *Inputs) SetLimit(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.available += limit - s.limit
+	s.limit = limit
+	s.wakeFirst()
 }
 
 // Drain makes each connection process only the commands that have begun to arrive, and one more if there
@@ -49,6 +66,22 @@
 	return s.available
 }
 
+// TakeShortage returns what was not taken since the last call.
+func (s *Inputs) TakeShortage() InputShortage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.shortage
+	s.shortage = InputShortage{}
+	return taken
+}
+
+// countRefusal counts a query that is refused for want of memory.
+func (s *Inputs) countRefusal() {
+	s.mu.Lock()
+	s.shortage.Refused++
+	s.mu.Unlock()
+}
+
 // resize changes what an input holds to size bytes and reports whether that was possible. An input gets at
 // most half of what is still available, so that one that holds much is refused before one that holds
 // little. For want of memory, messages of others that stand still lose theirs. in.mu must be held.
@@ -150,6 +183,7 @@
 	}
 	defer victim.mu.Unlock()
 	victim.dropUnfinished()
+	s.shortage.Dropped++
 	s.setReserved(victim, max(0, victim.held-freeInputBytes))
 	return true
 }
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -66,7 +66,7 @@
 	switch {
 	case length < lengthBytes:
 		return message{}, transport.Malformed
-	case length+1 > int64(memory.budget.maxMessageBytes):
+	case length+1 > memory.budget.maxMessage():
 		return message{}, transport.TooLong
 	}
 	total := int(length) + 1
