--- a/review/rig2/driver.go
+++ b/review/rig2/driver.go
@@ -31,14 +31,28 @@
 	started   []*Driver
 )
 
-// FreeAddr returns a free loopback address.
+var (
+	givenMu sync.Mutex
+	given   = map[string]bool{}
+)
+
+// FreeAddr returns a free loopback address, none twice. No connection goes out from 127.0.0.2, so that none takes
+// its port meanwhile.
 func FreeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	givenMu.Lock()
+	defer givenMu.Unlock()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.2:0")
+		if err != nil {
+			return "", err
+		}
+		addr := listener.Addr().String()
+		listener.Close()
+		if !given[addr] {
+			given[addr] = true
+			return addr, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 // NewDriver returns a driver, not started.
--- a/review/rig2/member.go
+++ b/review/rig2/member.go
@@ -22,6 +22,7 @@
 	primary  bool
 	work     time.Duration
 	hook     func(s Statement, conn net.Conn) (handled bool)
+	opening  func() time.Duration
 	received []Receipt
 	probes   int
 	conns    map[net.Conn]bool
@@ -80,6 +81,13 @@
 	m.mu.Unlock()
 }
 
+// SetOpening lets each new connection come up after a while.
+func (m *Member) SetOpening(opening func() time.Duration) {
+	m.mu.Lock()
+	m.opening = opening
+	m.mu.Unlock()
+}
+
 // Received returns the statements of clients that the member has got.
 func (m *Member) Received() []Receipt {
 	m.mu.Lock()
@@ -109,7 +117,11 @@
 func (m *Member) serve(conn net.Conn) {
 	m.mu.Lock()
 	m.conns[conn] = true
+	opening := m.opening
 	m.mu.Unlock()
+	if opening != nil {
+		time.Sleep(opening())
+	}
 	defer func() {
 		conn.Close()
 		m.mu.Lock()
--- a/review/rig2/settings.go
+++ b/review/rig2/settings.go
@@ -95,12 +95,12 @@
 	}
 	p := &Peers{All: all.LocalAddr().String()}
 	for range drivers {
-		probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2)})
 		if err != nil {
 			return nil, err
 		}
 		p.Listens = append(p.Listens, probe.LocalAddr().String())
-		probe.Close()
+		defer probe.Close()
 	}
 	go func() {
 		buffer := make([]byte, 2048)
