--- a/review/rig2/discovery.go
+++ b/review/rig2/discovery.go
@@ -29,7 +29,7 @@
 	Instances  []Entry `json:"instances"`
 }
 
-// Discovery is a stand-in for discovery. Several may serve one list at different addresses.
+// Discovery is a stand-in for discovery.
 type Discovery struct {
 	record *Record
 
@@ -38,7 +38,6 @@
 	entries    map[string]Entry
 	order      []string
 	changed    chan struct{}
-	delay      time.Duration
 }
 
 // NewDiscovery returns a discovery that lists members as serving.
@@ -65,14 +64,6 @@
 	d.record.Printf("discovery generation=%d %s %s", d.generation, m.ID, lifecycle)
 }
 
-// SetDelay lets each answer wait from when it could be given.
-func (d *Discovery) SetDelay(delay time.Duration) {
-	d.mu.Lock()
-	d.delay = delay
-	d.mu.Unlock()
-	d.record.Printf("discovery answers %v late", delay)
-}
-
 // All returns the whole list.
 func (d *Discovery) All() List {
 	d.mu.Lock()
@@ -93,9 +84,7 @@
 
 // Endpoint is an address at which discovery answers.
 type Endpoint struct {
-	Addr     string
-	listener net.Listener
-	server   *http.Server
+	Addr string
 }
 
 // Listen opens an address at which the discovery answers.
@@ -106,17 +95,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/targets", func(w http.ResponseWriter, r *http.Request) { d.answer(name, w, r) })
-	e := &Endpoint{Addr: listener.Addr().String(), listener: listener, server: &http.Server{Handler: mux}}
-	go e.server.Serve(listener)
-	return e, nil
+	go http.Serve(listener, mux)
+	return &Endpoint{listener.Addr().String()}, nil
 }
 
-// StopAccepting lets the address accept nothing new.
-func (e *Endpoint) StopAccepting() { e.listener.Close() }
-
-// Close closes the open connections too.
-func (e *Endpoint) Close() { e.server.Close() }
-
 func (d *Discovery) answer(name string, w http.ResponseWriter, r *http.Request) {
 	began, index := time.Now(), int64(-1)
 	if text := r.URL.Query().Get("index"); text != "" {
@@ -124,10 +106,8 @@
 	}
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	var list List
 	for waiting := true; waiting; {
 		d.mu.Lock()
-		list = d.since(index)
 		changed, newer := d.changed, d.generation > index
 		d.mu.Unlock()
 		if index < 0 || newer || wait <= 0 {
@@ -143,18 +123,7 @@
 		}
 	}
 	d.mu.Lock()
-	delay := d.delay
-	d.mu.Unlock()
-	if delay > 0 {
-		select {
-		case <-time.After(delay):
-		case <-r.Context().Done():
-			d.record.Printf("discovery %s call %s given up after %v", name, r.URL.RawQuery, time.Since(began).Round(time.Millisecond))
-			return
-		}
-	}
-	d.mu.Lock()
-	list = d.since(index)
+	list := d.since(index)
 	d.mu.Unlock()
 	text, _ := json.Marshal(list)
 	w.Header().Set("Content-Type", "application/json")
--- a/review/rig2/driver.go
+++ b/review/rig2/driver.go
@@ -172,6 +172,3 @@
 		}
 	}
 }
-
-// Pid returns the process's number.
-func (d *Driver) Pid() int { return d.cmd.Process.Pid }
--- a/review/rig2/member.go
+++ b/review/rig2/member.go
@@ -22,10 +22,7 @@
 	primary  bool
 	work     time.Duration
 	hook     func(s Statement, conn net.Conn) (handled bool)
-	opening  func() time.Duration
 	received []Receipt
-	probes   int
-	conns    map[net.Conn]bool
 }
 
 // Receipt is a statement that a member got. FirstByte is when it had the first byte.
@@ -41,7 +38,7 @@
 		return nil, err
 	}
 	m := &Member{ID: id, Addr: listener.Addr().String(), Group: group, Zone: zone, record: record, listener: listener, primary: primary,
-		work: work, conns: map[net.Conn]bool{}}
+		work: work}
 	go m.accept(listener)
 	return m, nil
 }
@@ -56,24 +53,6 @@
 	}
 }
 
-// Stop ends the member as a process ends: its connections are reset and new ones are refused.
-func (m *Member) Stop() {
-	m.listener.Close()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for conn := range m.conns {
-		conn.(*net.TCPConn).SetLinger(0)
-		conn.Close()
-	}
-}
-
-// SetPrimary makes it the primary of its group, or a replica.
-func (m *Member) SetPrimary(primary bool) {
-	m.mu.Lock()
-	m.primary = primary
-	m.mu.Unlock()
-}
-
 // SetHook lets hook see each statement first; it answers itself if it returns true.
 func (m *Member) SetHook(hook func(s Statement, conn net.Conn) (handled bool)) {
 	m.mu.Lock()
@@ -81,13 +60,6 @@
 	m.mu.Unlock()
 }
 
-// SetOpening lets each new connection come up after a while.
-func (m *Member) SetOpening(opening func() time.Duration) {
-	m.mu.Lock()
-	m.opening = opening
-	m.mu.Unlock()
-}
-
 // Received returns the statements of clients that the member has got.
 func (m *Member) Received() []Receipt {
 	m.mu.Lock()
@@ -95,13 +67,6 @@
 	return append([]Receipt(nil), m.received...)
 }
 
-// Probes returns how many probes it has got.
-func (m *Member) Probes() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.probes
-}
-
 func (m *Member) status() (text string, primary bool, position int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -115,19 +80,7 @@
 }
 
 func (m *Member) serve(conn net.Conn) {
-	m.mu.Lock()
-	m.conns[conn] = true
-	opening := m.opening
-	m.mu.Unlock()
-	if opening != nil {
-		time.Sleep(opening())
-	}
-	defer func() {
-		conn.Close()
-		m.mu.Lock()
-		delete(m.conns, conn)
-		m.mu.Unlock()
-	}()
+	defer conn.Close()
 	r := bufio.NewReaderSize(conn, 64<<10)
 	if acceptStartup(conn, r) != nil {
 		return
@@ -149,9 +102,6 @@
 
 func (m *Member) answer(conn net.Conn, text string, first time.Time) string {
 	if text == "SHOW server_load" {
-		m.mu.Lock()
-		m.probes++
-		m.mu.Unlock()
 		status, primary, position := m.status()
 		x1 := 0
 		if primary {
--- a/review/rig2/settings.go
+++ b/review/rig2/settings.go
@@ -21,15 +21,6 @@
 	Duplicates, Peers, SoftRemoval, Retries bool
 }
 
-// Licence are the settings of licence-db-main for a number of drivers.
-func Licence(drivers int) Site {
-	return Site{Methods: []Method{
-		{Name: "status-read", Effect: "repeatable", Scope: "all", Read: "recent", Aim: 600_000, Deadline: 2_500_000, Window: 5_000_000, Age: 200_000, Worth: 2},
-		{Name: "sale-write", Effect: "by_key", Scope: "cell", Read: "update", Aim: 600_000, Deadline: 5_000_000, Window: 5_000_000, Worth: 4, LateWorth: 0.5},
-	}, Guards: "none", Tokens: "router", Discovery: "automatic", DrainGrace: 1_000_000, Warm: 18_000_000, Tip: 1_500_000, StartCapacity: 0.21,
-		FallMultiple: 4, Tries: 6, Drivers: drivers, Duplicates: true, Peers: true, Retries: true}
-}
-
 // Padana are the settings of padana-gioco for a number of drivers.
 func Padana(drivers int) Site {
 	return Site{Methods: []Method{
