--- a/review/rig2/member.go
+++ b/review/rig2/member.go
@@ -22,6 +22,7 @@
 	primary  bool
 	work     time.Duration
 	hook     func(s Statement, conn net.Conn) (handled bool)
+	position func() int64
 	received []Receipt
 }
 
@@ -60,6 +61,13 @@
 	m.mu.Unlock()
 }
 
+// SetPosition lets position say how far the member is, in Unix milliseconds.
+func (m *Member) SetPosition(position func() int64) {
+	m.mu.Lock()
+	m.position = position
+	m.mu.Unlock()
+}
+
 // Received returns the statements of clients that the member has got.
 func (m *Member) Received() []Receipt {
 	m.mu.Lock()
@@ -76,6 +84,9 @@
 		position -= 20
 		role = "follower"
 	}
+	if m.position != nil {
+		position = m.position()
+	}
 	return parameter("node_role", role) + parameter("replay_position", fmt.Sprint(position)), m.primary, position
 }
 
--- a/review/rig2/pieces.go
+++ b/review/rig2/pieces.go
@@ -13,6 +13,11 @@
 	return parameter("node_role", role) + parameter("replay_position", fmt.Sprint(time.Now().UnixMilli()-5))
 }
 
+// StatusAt returns the messages by which a member tells its role and a position.
+func StatusAt(role string, position int64) string {
+	return parameter("node_role", role) + parameter("replay_position", fmt.Sprint(position))
+}
+
 // Fail returns an ErrorResponse with ReadyForQuery.
 func Fail(state string) string { return failure(state, "no") + ready }
 
